--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+GOFUMPT   := go run mvdan.cc/gofumpt@v0.12.0
+LINT      := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF       := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
+HANDMADE  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: build test format check-format lint generate check-generated fuzz-seeds
+
+## build: compiles the programs into bin/
+build:
+	go build -o bin/ ./cmd/...
+
+## test: runs every test with the race detector
+test:
+	go test -race -timeout 600s ./...
+
+## format: formats all hand-written Go files
+format:
+	$(GOFUMPT) -w $(HANDMADE)
+
+## check-format: fails if a hand-written Go file is not formatted
+check-format:
+	@out=$$($(GOFUMPT) -l $(HANDMADE)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+## lint: runs the linter
+lint:
+	$(LINT) run ./...
+
+## generate: regenerates the code from the schema files
+generate:
+	cd api && $(BUF) lint && $(BUF) generate
+
+## check-generated: fails if the committed generated code is out of date
+check-generated: generate
+	git diff --exit-code -- api
+
+## fuzz-seeds: runs every fuzz target on its seed corpus
+fuzz-seeds:
+	go test -run '^Fuzz' ./...
--- /dev/null
+++ b/internal/link/websocket_test.go
@@ -0,0 +1,43 @@
+package link
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/wire"
+)
+
+// TestSocketRoundTrip guards against a message that is lost or changed on a WebSocket link.
+func TestSocketRoundTrip(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(func(conn Conn) {
+		for {
+			message, err := conn.Receive()
+			if err != nil {
+				return
+			}
+			if conn.Send(message) != nil {
+				return
+			}
+		}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(listener, nil) }()
+	defer func() { _ = server.Shutdown() }()
+
+	conn, err := NewDialer(nil).Dial(context.Background(), listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	for sequence := range uint64(100) {
+		is.NoErr(conn.Send(&wire.Heartbeat{Sequence: sequence}))
+	}
+	for sequence := range uint64(100) {
+		message, err := conn.Receive()
+		is.NoErr(err)
+		is.Equal(message.(*wire.Heartbeat).Sequence, sequence)
+	}
+}
--- /dev/null
+++ b/internal/wire/kind.go
@@ -0,0 +1,34 @@
+// Package wire defines the messages between the system's processes and their CBOR encoding.
+package wire
+
+// Kind identifies the type of a message on the wire. Values are part of the protocol and never reused.
+type Kind uint8
+
+// Message kinds.
+const (
+	KindHello         Kind = 1
+	KindWelcome       Kind = 2
+	KindHeartbeat     Kind = 3
+	KindHeartbeatAck  Kind = 4
+	KindConfiguration Kind = 5
+	KindRequest       Kind = 6
+	KindRequestReply  Kind = 7
+	KindQuery         Kind = 8
+	KindQueryReply    Kind = 9
+	KindCancel        Kind = 10
+	KindStartTask     Kind = 11
+	KindEvictTask     Kind = 12
+	KindStopTask      Kind = 13
+	KindTaskEvent     Kind = 14
+	KindAckTaskEvent  Kind = 15
+	KindUsage         Kind = 16
+	KindLeaving       Kind = 17
+	KindSilenceQuery  Kind = 18
+	KindSilenceReply  Kind = 19
+)
+
+// Message is one message between two processes.
+type Message interface {
+	// Kind returns the message's kind on the wire.
+	Kind() Kind
+}
--- /dev/null
+++ b/internal/wire/taskmsg.go
@@ -0,0 +1,165 @@
+package wire
+
+import (
+	"clementineflow/internal/resource"
+	"clementineflow/internal/task"
+)
+
+// Order identifies the authority behind a command about a task.
+type Order struct {
+	TaskID  string `cbor:"1,keyasint"`
+	Attempt uint32 `cbor:"2,keyasint"`
+	// Shard and Epoch identify the shard owner; an agent refuses an epoch below the highest seen.
+	Shard uint16 `cbor:"3,keyasint"`
+	Epoch uint64 `cbor:"4,keyasint"`
+	// Session is the session that the command is meant for.
+	Session task.Session `cbor:"5,keyasint"`
+}
+
+// StartTask orders the start of a committed assignment.
+type StartTask struct {
+	Order      Order             `cbor:"1,keyasint"`
+	TaskKind   task.Kind         `cbor:"2,keyasint"`
+	Class      string            `cbor:"3,keyasint"`
+	Service    string            `cbor:"4,keyasint,omitempty"`
+	Size       resource.Quantity `cbor:"5,keyasint"`
+	Payload    []byte            `cbor:"6,keyasint,omitempty"`
+	Checkpoint string            `cbor:"7,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*StartTask) Kind() Kind { return KindStartTask }
+
+// EvictTask orders a checkpoint and stop, after which the attempt never runs again.
+type EvictTask struct {
+	Order Order `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*EvictTask) Kind() Kind { return KindEvictTask }
+
+// StopTask orders a stop without a checkpoint, after which the attempt never runs again.
+type StopTask struct {
+	Order Order `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*StopTask) Kind() Kind { return KindStopTask }
+
+// EventType says what happened to a task attempt.
+type EventType uint8
+
+// Task event types.
+const (
+	EventStarted EventType = iota + 1
+	EventFinished
+	EventFailed
+	// EventEvicted: checkpointed and stopped; Checkpoint is set.
+	EventEvicted
+	// EventStopped: stopped without a checkpoint, or never started and now never will.
+	EventStopped
+	// EventRefused: the attempt did not start and, with this session, never will.
+	EventRefused
+)
+
+// RefusalReason says why an agent refused to start a task.
+type RefusalReason uint8
+
+// Reasons for a refusal.
+const (
+	RefusalNone RefusalReason = iota
+	RefusalCapacity
+	RefusalZone
+	RefusalNoPermit
+	RefusalNoLease
+	RefusalStaleSession
+	RefusalStaleEpoch
+	RefusalTombstone
+	RefusalLeaving
+	RefusalRuntime
+)
+
+// TaskEvent reports an event about a task attempt; it is repeated until acknowledged.
+type TaskEvent struct {
+	TaskID     string        `cbor:"1,keyasint"`
+	Attempt    uint32        `cbor:"2,keyasint"`
+	Type       EventType     `cbor:"3,keyasint"`
+	Refusal    RefusalReason `cbor:"4,keyasint,omitempty"`
+	Checkpoint string        `cbor:"5,keyasint,omitempty"`
+	Result     []byte        `cbor:"6,keyasint,omitempty"`
+	Detail     string        `cbor:"7,keyasint,omitempty"`
+	Session    task.Session  `cbor:"8,keyasint"`
+	// ProgressPermille is the work done, in thousandths.
+	ProgressPermille int `cbor:"9,keyasint,omitempty"`
+	// StaleEpoch is the highest epoch seen for the shard if Refusal is RefusalStaleEpoch.
+	StaleEpoch uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*TaskEvent) Kind() Kind { return KindTaskEvent }
+
+// AckTaskEvent says that the shard owner has committed the effect of a TaskEvent.
+type AckTaskEvent struct {
+	TaskID  string    `cbor:"1,keyasint"`
+	Attempt uint32    `cbor:"2,keyasint"`
+	Type    EventType `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*AckTaskEvent) Kind() Kind { return KindAckTaskEvent }
+
+// Usage is a late report of what each task of a worker uses.
+type Usage struct {
+	Tasks []TaskStatus `cbor:"1,keyasint"`
+	// AgeMillis is the age of the measurements in milliseconds.
+	AgeMillis int64 `cbor:"2,keyasint"`
+	// ServiceLatencies holds the latency of each service's targets over the last report interval.
+	ServiceLatencies []ServiceLatency `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Usage) Kind() Kind { return KindUsage }
+
+// ServiceLatency is the latency of one service on one worker.
+type ServiceLatency struct {
+	Service   string `cbor:"1,keyasint"`
+	Requests  int64  `cbor:"2,keyasint"`
+	P50Micros int64  `cbor:"3,keyasint"`
+	P99Micros int64  `cbor:"4,keyasint"`
+}
+
+// SilenceQuery asks a peer entry whether it denies a worker.
+type SilenceQuery struct {
+	Worker string `cbor:"1,keyasint"`
+	// BootID is the boot of the worker runtime that is asked about; a replaced VM has another one.
+	BootID string `cbor:"2,keyasint"`
+	// Nonce pairs the reply with the query.
+	Nonce uint64 `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*SilenceQuery) Kind() Kind { return KindSilenceQuery }
+
+// SilenceVerdict is an entry's statement about a worker.
+type SilenceVerdict uint8
+
+// Verdicts about a worker.
+const (
+	// SilenceDenied: up for term and margin, and no acknowledgement to the worker in that time.
+	SilenceDenied SilenceVerdict = iota + 1
+	// SilenceAcknowledged: the worker was acknowledged within term and margin.
+	SilenceAcknowledged
+	// SilenceTooYoung: the entry has not been up for term and margin.
+	SilenceTooYoung
+)
+
+// SilenceReply answers a SilenceQuery.
+type SilenceReply struct {
+	Worker  string         `cbor:"1,keyasint"`
+	BootID  string         `cbor:"2,keyasint"`
+	Nonce   uint64         `cbor:"3,keyasint"`
+	Verdict SilenceVerdict `cbor:"4,keyasint"`
+}
+
+// Kind implements Message.
+func (*SilenceReply) Kind() Kind { return KindSilenceReply }
