--- a/cmd/clementine-standin/main.go
+++ b/cmd/clementine-standin/main.go
@@ -1,5 +1,5 @@
-// Command clementine-standin runs stand-ins for the platform's store and for a worker with its
-// runtime and target. It is for tests and the demo and is never shipped.
+// Command clementine-standin runs stand-ins for the platform's store, for a worker with its runtime and
+// target, and for callers. It is for tests and the demo and is never shipped.
 package main
 
 import (
@@ -14,6 +14,9 @@
 type commandLine struct {
 	Store  storeCommand  `cmd:"" help:"Run the stand-in for the platform's key-value service."`
 	Worker workerCommand `cmd:"" help:"Run the stand-in for a worker's runtime and target."`
+
+	Request requestCommand `cmd:"" help:"Send one request as a caller."`
+	Load    loadCommand    `cmd:"" help:"Send many requests as callers and report outcomes and latencies."`
 }
 
 func main() {
--- a/internal/link/websocket.go
+++ b/internal/link/websocket.go
@@ -62,6 +62,8 @@
 		c.Close()
 		return false
 	}
+	sentFrames.Inc()
+	sentBytes.Add(len(frame))
 	return true
 }
 
@@ -79,6 +81,7 @@
 	case c.queue <- frame:
 		return nil
 	default:
+		queueFull.Inc()
 		return ErrQueueFull
 	}
 }
@@ -93,6 +96,8 @@
 		c.Close()
 		return nil, receiveError(err)
 	}
+	receivedFrames.Inc()
+	receivedBytes.Add(len(frame))
 	if kind != websocket.BinaryMessage {
 		c.Close()
 		return nil, errors.Wrap(ErrProtocol, "not a binary frame")
@@ -109,6 +114,7 @@
 func receiveError(err error) error {
 	var netError net.Error
 	if errors.As(err, &netError) && netError.Timeout() {
+		silentLinks.Inc()
 		return ErrSilent
 	}
 	return errors.Wrap(ErrClosed, err.Error())
