Add task transitions, the interference model and the scheduler

Cause: placement decisions and task state changes had only a contract. Change: pure transitions with typed errors on task.Record, a log-linear interference model, and a scheduler with filter and score plug-ins. Record gains NotBefore, Restarts and CheckpointPermille, which restart delays and eviction losses need.

--- /dev/null
+++ b/internal/scheduler/filter_failed.go
@@ -0,0 +1,11 @@
+package scheduler
+
+// failedHereFilter excludes workers on which the task failed.
+type failedHereFilter struct{}
+
+func (failedHereFilter) check(t *candidate, n *node) Reason {
+	if t.failedOn(n.Name) {
+		return ReasonFailedHere
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/scheduler/snapshot.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"time"
+
+	"clementineflow/internal/configuration"
+	"clementineflow/internal/interference"
+	"clementineflow/internal/resource"
+	"clementineflow/internal/task"
+)
+
+// Holding is a task that counts against a worker by a record that the caller owns.
+type Holding struct {
+	Record *task.Record
+	// ProgressPermille is the last reported progress, in thousandths; 0 if unknown.
+	ProgressPermille int
+}
+
+// Neighbour is a task that runs on a worker by a record that the caller does not own.
+type Neighbour struct {
+	Class string
+	Kind  task.Kind
+	Size  resource.Quantity
+}
+
+// Worker is the state of one worker.
+type Worker struct {
+	Name, Zone, Rack   string
+	Session            task.Session
+	Capacity           resource.Quantity
+	Connected, Leaving bool
+	Health             HealthStatus
+	// Holdings lists the tasks assigned by committed records.
+	Holdings []Holding
+	// Neighbours lists the other tasks that the worker reported.
+	Neighbours []Neighbour
+	// FreeLimit is the most that may still be assigned according to the worker's own report, less
+	// the assignments that the report cannot contain. It is ignored if HasFreeLimit is false.
+	FreeLimit    resource.Quantity
+	HasFreeLimit bool
+	// Observed is the total observed use; zero if unknown.
+	Observed resource.Quantity
+	// LatencyRatio is the highest p99 latency of the worker's services relative to the objective;
+	// zero if unknown.
+	LatencyRatio float64
+}
+
+// Snapshot is the input of one plan. The scheduler does not change it.
+type Snapshot struct {
+	Now      time.Time
+	Workers  []Worker
+	Pending  []*task.Record
+	Document *configuration.Document
+	Model    *interference.Model
+	Sizes    *Sizes
+	// TeamUse is what the batch tasks and watches of each team hold in the region.
+	TeamUse map[string]resource.Quantity
+}
--- a/internal/task/record.go
+++ b/internal/task/record.go
@@ -2,6 +2,7 @@
 package task
 
 import (
+	"slices"
 	"time"
 
 	"clementineflow/internal/resource"
@@ -122,6 +123,19 @@
 	Evictions uint32 `cbor:"14,keyasint,omitempty"`
 	// StartedAt is when the current attempt was reported as started; zero if it was not.
 	StartedAt time.Time `cbor:"15,keyasint,omitempty"`
+	// NotBefore is the earliest time of the next assignment; zero if there is no delay.
+	NotBefore time.Time `cbor:"16,keyasint,omitempty"`
+	// Restarts counts consecutive failed attempts; it sets the length of the next delay.
+	Restarts uint32 `cbor:"17,keyasint,omitempty"`
+	// CheckpointPermille is the progress saved by Checkpoint, in thousandths.
+	CheckpointPermille int `cbor:"18,keyasint,omitempty"`
+}
+
+// Clone returns a copy whose slices that transitions append to are not shared with r.
+func (r *Record) Clone() *Record {
+	copied := *r
+	copied.Failures = slices.Clone(r.Failures)
+	return &copied
 }
 
 // HoldsWorker reports whether the record has an assignment that counts against a worker.
