--- /dev/null
+++ b/internal/controller/cancel.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/task"
+)
+
+// Cancel requests the end of a task; nil means that the request is durable. Repeating it has no
+// further effect. It returns ErrNotFound, ErrFinal, ErrUnavailable, ErrOutcomeUnknown or ErrNotOwner.
+func (c *Controller) Cancel(ctx context.Context, requestID, taskID string) (task.Record, error) {
+	shard, err := c.ownedShard(taskID)
+	if err != nil {
+		return task.Record{}, err
+	}
+	var result *task.Record
+	err = c.propose(ctx, shard, func(tasks map[string]*task.Record) error {
+		record, ok := tasks[taskID]
+		if !ok {
+			return ErrNotFound
+		}
+		result = record.Clone()
+		if err := result.CancelRequested(time.Now()); err != nil {
+			return errors.Wrap(ErrFinal, record.State.String())
+		}
+		tasks[taskID] = result
+		return nil
+	})
+	if err != nil {
+		return task.Record{}, c.translate(shard.ID(), err)
+	}
+	c.decisions.add(taskID, Decision{At: time.Now(), Action: "cancel", Worker: result.Worker, Reason: "request " + requestID})
+	return *result, nil
+}
--- /dev/null
+++ b/internal/controller/snapshot.go
@@ -0,0 +1,158 @@
+package controller
+
+import (
+	"time"
+
+	"clementineflow/internal/configuration"
+	"clementineflow/internal/resource"
+	"clementineflow/internal/scheduler"
+	"clementineflow/internal/task"
+	"clementineflow/internal/wire"
+)
+
+const (
+	// reportLag is how old the content of a heartbeat may be when it arrives.
+	reportLag = time.Second
+	// maxPendingPerPlan bounds the time of one plan during a wave of submissions.
+	maxPendingPerPlan = 2000
+)
+
+// attemptKey identifies one attempt of a task.
+type attemptKey struct {
+	taskID  string
+	attempt uint32
+}
+
+// owned is the content of the owned shards at one moment.
+type owned struct {
+	records  map[string]*task.Record
+	pending  []*task.Record
+	holdings map[string][]*task.Record
+	shards   map[uint16]Shard
+}
+
+func (c *Controller) collect() *owned {
+	o := &owned{records: map[string]*task.Record{}, holdings: map[string][]*task.Record{}, shards: map[uint16]Shard{}}
+	for _, shard := range c.shards.Owned() {
+		o.shards[shard.ID()] = shard
+		for id, record := range shard.Snapshot() {
+			o.add(id, record)
+		}
+	}
+	return o
+}
+
+func (o *owned) add(id string, record *task.Record) {
+	o.records[id] = record
+	switch {
+	case record.State == task.StatePending:
+		o.pending = append(o.pending, record)
+	case record.HoldsWorker():
+		o.holdings[record.Worker] = append(o.holdings[record.Worker], record)
+	}
+}
+
+// bounded returns at most maxPendingPerPlan pending tasks: those that may evict others first, then
+// a random choice, so that tasks that cannot be placed do not block the rest.
+func (c *Controller) bounded(pending []*task.Record) []*task.Record {
+	if len(pending) <= maxPendingPerPlan {
+		return pending
+	}
+	c.random.Shuffle(len(pending), func(i, j int) { pending[i], pending[j] = pending[j], pending[i] })
+	chosen := make([]*task.Record, 0, len(pending))
+	var others []*task.Record
+	for _, record := range pending {
+		if record.Spec.Kind == task.KindService || record.Spec.Priority == task.PriorityUrgent {
+			chosen = append(chosen, record)
+		} else {
+			others = append(others, record)
+		}
+	}
+	return append(chosen, others...)[:maxPendingPerPlan]
+}
+
+// snapshot returns the scheduler's input. The caller holds the lock of the knowledge.
+func (c *Controller) snapshot(o *owned, now time.Time) *scheduler.Snapshot {
+	document := c.document()
+	snapshot := &scheduler.Snapshot{
+		Now: now, Pending: c.bounded(o.pending), Document: document, Model: c.knowledge.model,
+		Sizes: c.knowledge.sizes, TeamUse: c.quota.use(c.shards),
+	}
+	for _, records := range o.holdings {
+		for _, record := range records {
+			addTeamUse(snapshot.TeamUse, record)
+		}
+	}
+	for _, view := range c.fleet.Views() {
+		snapshot.Workers = append(snapshot.Workers, c.worker(&view, o, document, now))
+	}
+	return snapshot
+}
+
+func addTeamUse(use map[string]resource.Quantity, record *task.Record) {
+	if scheduler.CountsAgainstQuota(record.Spec.Kind) {
+		use[record.Spec.Team] = use[record.Spec.Team].Add(record.Spec.Size)
+	}
+}
+
+func (c *Controller) worker(view *View, o *owned, document *configuration.Document, now time.Time) scheduler.Worker {
+	worker := scheduler.Worker{
+		Name: view.Name, Zone: view.Zone, Rack: view.Rack, Session: view.Session, Capacity: view.Capacity,
+		Connected: view.Connected, Leaving: view.Leaving,
+		Health:       c.knowledge.health.Status(view.Name, now),
+		LatencyRatio: latencyRatio(view.Latencies, document),
+		// A worker that has sent no heartbeat yet reports no free capacity although it is empty.
+		HasFreeLimit: !view.Free.IsZero() || len(view.Tasks) > 0,
+	}
+	reported := map[attemptKey]*wire.TaskStatus{}
+	for index := range view.Tasks {
+		status := &view.Tasks[index]
+		reported[attemptKey{status.TaskID, status.Attempt}] = status
+		worker.Observed = worker.Observed.Add(status.Usage)
+	}
+	worker.FreeLimit = view.Free
+	for _, record := range o.holdings[view.Name] {
+		key := attemptKey{record.ID, record.Attempt}
+		holding := scheduler.Holding{Record: record}
+		if status, ok := reported[key]; ok {
+			holding.ProgressPermille = status.ProgressPermille
+		}
+		delete(reported, key)
+		worker.Holdings = append(worker.Holdings, holding)
+		if unreported(record, view) {
+			worker.FreeLimit = worker.FreeLimit.Sub(record.Spec.Size)
+		}
+	}
+	for _, status := range reported {
+		if c.isNeighbour(status, o) {
+			worker.Neighbours = append(worker.Neighbours, scheduler.Neighbour{Class: status.Class, Kind: status.TaskKind, Size: status.Size})
+		}
+	}
+	return worker
+}
+
+// unreported reports whether the worker's free capacity cannot contain the assignment yet.
+func unreported(record *task.Record, view *View) bool {
+	return record.State == task.StateAssigned || record.StartedAt.After(view.HeardAt.Add(-reportLag))
+}
+
+// isNeighbour reports whether a reported attempt runs by a record that this entry does not own. An
+// attempt of an owned task without a holding has ended since the report.
+func (c *Controller) isNeighbour(status *wire.TaskStatus, o *owned) bool {
+	_, own := o.shards[c.shardOf(status.TaskID)]
+	return status.Running && !own
+}
+
+func latencyRatio(latencies []wire.ServiceLatency, document *configuration.Document) float64 {
+	highest := 0.0
+	if document == nil {
+		return highest
+	}
+	for _, latency := range latencies {
+		service, ok := document.Service(latency.Service)
+		if ok && service.LatencyObjective > 0 {
+			highest = max(highest, float64(latency.P99Micros)/float64(service.LatencyObjective.Microseconds()))
+		}
+	}
+	return highest
+}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -29,6 +29,7 @@
 
 type workerHealth struct {
 	failed      map[string]struct{}
+	firstFailed time.Time
 	quarantined bool
 	delay       time.Duration
 	probeAt     time.Time
@@ -46,7 +47,7 @@
 func (h *Health) Failed(worker, taskID string, known int, now time.Time) {
 	state, ok := h.workers[worker]
 	if !ok {
-		state = &workerHealth{failed: map[string]struct{}{}}
+		state = &workerHealth{failed: map[string]struct{}{}, firstFailed: now}
 		h.workers[worker] = state
 	}
 	state.failed[taskID] = struct{}{}
@@ -81,8 +82,13 @@
 	return quarantined == 1 || quarantined*1000 <= known*maxQuarantinedPermille
 }
 
-// Succeeded records that a task ran well; the worker is readmitted.
-func (h *Health) Succeeded(worker string) { delete(h.workers, worker) }
+// Succeeded records that a task ran well; the worker is readmitted. A task that was started before
+// the first failure says nothing about later starts.
+func (h *Health) Succeeded(worker string, startedAt time.Time) {
+	if state, ok := h.workers[worker]; ok && !startedAt.Before(state.firstFailed) {
+		delete(h.workers, worker)
+	}
+}
 
 // Probed records that one task was assigned to a worker with HealthProbe.
 func (h *Health) Probed(worker string, now time.Time) {
