--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,398 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"clementineflow/internal/configuration"
+	"clementineflow/internal/interference"
+	"clementineflow/internal/resource"
+	"clementineflow/internal/task"
+)
+
+var now = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+const gib = 1 << 30
+
+func size(cores, gibs int64) resource.Quantity {
+	return resource.Quantity{MilliCPU: cores * 1000, MemoryBytes: gibs * gib}
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(7, 7)) }
+
+func document(out ...string) *configuration.Document {
+	d := &configuration.Document{Revision: 1, Weights: configuration.Weights{TailLatency: 2, Throughput: 1, Evictions: 1, ZoneWork: 1}}
+	for _, name := range []string{"a", "b", "c"} {
+		zone := configuration.Zone{Name: name}
+		for _, o := range out {
+			zone.OutOfService = zone.OutOfService || o == name
+		}
+		d.Zones = append(d.Zones, zone)
+	}
+	for i := range 4 {
+		d.Teams = append(d.Teams, configuration.Team{Name: fmt.Sprintf("t%d", i), Weight: i + 1})
+	}
+	return d
+}
+
+func worker(i int) Worker {
+	return Worker{
+		Name: fmt.Sprintf("w%d", i), Zone: string(rune('a' + i%3)), Rack: fmt.Sprintf("r%d", i/3),
+		Capacity: size(16, 60), Connected: true, Session: task.Session{BootID: "b", Number: 1},
+	}
+}
+
+func record(name string, kind task.Kind, priority task.Priority, s resource.Quantity) *task.Record {
+	spec := task.Spec{Name: name, Kind: kind, Team: "t0", Class: "c0", Priority: priority, Size: s}
+	if kind == task.KindService {
+		spec.Service = name
+	}
+	return task.New(spec, "", now)
+}
+
+// running puts a record on a worker.
+func running(w *Worker, r *task.Record, progress int) *task.Record {
+	_ = r.Assign(w.Name, w.Session, "", now)
+	_ = r.Started(task.Origin{Worker: w.Name, Attempt: r.Attempt, Session: w.Session}, now)
+	w.Holdings = append(w.Holdings, Holding{Record: r, ProgressPermille: progress})
+	return r
+}
+
+// TestPlanProperties guards against a plan that puts more on a worker than it holds, starts work in
+// a zone out of service or on an unfit worker, exceeds a quota, evicts a service or urgent work for
+// urgent work, or decides twice about a task.
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Snapshot{Now: now, Document: document(), Model: interference.New(), Sizes: NewSizes(), TeamUse: map[string]resource.Quantity{}}
+		if rapid.Bool().Draw(t, "leaving") {
+			s.Document = document("b")
+		}
+		s.Document.Teams[1].Quota = size(10, 0)
+		byName := map[string]*Worker{}
+		records := map[string]*task.Record{}
+		draw := func(name string) *task.Record {
+			r := record(name, task.Kind(rapid.IntRange(1, 3).Draw(t, "kind")), task.Priority(rapid.IntRange(1, 3).Draw(t, "priority")),
+				size(int64(rapid.IntRange(1, 12).Draw(t, "cores")), int64(rapid.IntRange(1, 40).Draw(t, "gib"))))
+			r.Spec.Team = fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team"))
+			r.CreatedAt = now.Add(-time.Duration(rapid.IntRange(0, 3600).Draw(t, "age")) * time.Second)
+			records[r.ID] = r
+			return r
+		}
+		for i := range rapid.IntRange(1, 8).Draw(t, "workers") {
+			w := worker(i)
+			w.Connected = rapid.IntRange(0, 9).Draw(t, "connected") > 0
+			free := w.Capacity
+			for j := range rapid.IntRange(0, 4).Draw(t, "held") {
+				r := draw(fmt.Sprintf("held-%d-%d", i, j))
+				if !r.Spec.Size.FitsIn(free) {
+					continue
+				}
+				free = free.Sub(r.Spec.Size)
+				running(&w, r, rapid.IntRange(0, 1000).Draw(t, "progress"))
+				if CountsAgainstQuota(r.Spec.Kind) {
+					s.TeamUse[r.Spec.Team] = s.TeamUse[r.Spec.Team].Add(r.Spec.Size)
+				}
+			}
+			s.Workers = append(s.Workers, w)
+		}
+		for i := range s.Workers {
+			byName[s.Workers[i].Name] = &s.Workers[i]
+		}
+		for i := range rapid.IntRange(0, 20).Draw(t, "pending") {
+			s.Pending = append(s.Pending, draw(fmt.Sprintf("p%d", i)))
+		}
+		plan := Make(s, random())
+		checkPlan(t, s, plan, byName, records)
+	})
+}
+
+func checkPlan(t *rapid.T, s *Snapshot, plan Plan, workers map[string]*Worker, records map[string]*task.Record) {
+	used := map[string]resource.Quantity{}
+	teams := map[string]resource.Quantity{}
+	decided := map[string]bool{}
+	for _, a := range plan.Assignments {
+		w, r := workers[a.Worker], records[a.TaskID]
+		if !w.Connected || !s.Document.ZoneInService(w.Zone) {
+			t.Fatalf("assigned to %+v", w)
+		}
+		if decided[a.TaskID] {
+			t.Fatalf("two decisions for %s", a.TaskID)
+		}
+		decided[a.TaskID] = true
+		used[a.Worker] = used[a.Worker].Add(r.Spec.Size)
+		if CountsAgainstQuota(r.Spec.Kind) {
+			teams[r.Spec.Team] = teams[r.Spec.Team].Add(r.Spec.Size)
+		}
+	}
+	for name, w := range workers {
+		total := used[name]
+		for _, h := range w.Holdings {
+			total = total.Add(h.Record.Spec.Size)
+		}
+		if !total.FitsIn(w.Capacity) {
+			t.Fatalf("%s holds %+v of %+v", name, total, w.Capacity)
+		}
+	}
+	for _, team := range s.Document.Teams {
+		if use := teams[team.Name]; !use.IsZero() && !WithinQuota(use.Add(s.TeamUse[team.Name]), team.Quota) {
+			t.Fatalf("team %s uses %+v", team.Name, use)
+		}
+	}
+	for _, e := range plan.Evictions {
+		r := records[e.TaskID]
+		if e.Cause == CauseUrgent && (r.Spec.Kind == task.KindService || r.Spec.Priority == task.PriorityUrgent) {
+			t.Fatalf("evicted %s for urgent work", r.ID)
+		}
+		if e.Cause == CauseZoneLeaving && s.Document.ZoneInService(workers[e.Worker].Zone) {
+			t.Fatalf("moved %s out of a zone in service", r.ID)
+		}
+		if decided[e.TaskID] {
+			t.Fatalf("two decisions for %s", e.TaskID)
+		}
+		decided[e.TaskID] = true
+	}
+}
+
+func snapshot(workers ...Worker) *Snapshot {
+	return &Snapshot{Now: now, Document: document(), Workers: workers, Model: interference.New(), Sizes: NewSizes(), TeamUse: map[string]resource.Quantity{}}
+}
+
+// TestOrder guards against batch work that is placed before urgent work, and against batch work
+// that waits for ever behind newer urgent work.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	batch := record("batch", task.KindBatch, task.PriorityLow, size(16, 60))
+	urgent := record("urgent", task.KindBatch, task.PriorityUrgent, size(16, 60))
+	s := snapshot(worker(0))
+	s.Pending = []*task.Record{batch, urgent}
+	is.Equal(Make(s, random()).Assignments[0].TaskID, urgent.ID)
+	batch.CreatedAt = now.Add(-time.Hour)
+	is.Equal(Make(s, random()).Assignments[0].TaskID, batch.ID)
+}
+
+// TestFairShare guards against a team that takes more than its weight while others wait.
+func TestFairShare(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0), worker(1))
+	for i := range 64 {
+		r := record(fmt.Sprintf("j%d", i), task.KindBatch, task.PriorityNormal, size(1, 1))
+		r.Spec.Team = []string{"t0", "t2"}[i/32] // weights 1 and 3
+		r.ID = r.Spec.ID()
+		s.Pending = append(s.Pending, r)
+	}
+	teams := map[string]int{}
+	for _, a := range Make(s, random()).Assignments {
+		teams[a.TaskID[6:8]]++
+	}
+	is.Equal(teams, map[string]int{"t0": 8, "t2": 24})
+}
+
+// TestUrgentEviction guards against evicting more than is needed, the more expensive work, a watch
+// while batch work suffices, or the same room again in the next plan.
+func TestUrgentEviction(t *testing.T) {
+	is := is.New(t)
+	w := worker(0)
+	running(&w, record("far", task.KindBatch, task.PriorityLow, size(4, 8)), 900)
+	near := running(&w, record("near", task.KindBatch, task.PriorityLow, size(4, 8)), 100)
+	running(&w, record("watch", task.KindWatch, task.PriorityLow, size(4, 8)), 0)
+	running(&w, record("service", task.KindService, task.PriorityLow, size(4, 8)), 0)
+	s := snapshot(w)
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(4, 8))}
+	plan := Make(s, random())
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].TaskID, near.ID)
+	is.Equal(plan.Unscheduled[0].Cause, CauseAwaitingEviction)
+	is.NoErr(near.EvictRequested(task.Origin{Worker: w.Name, Attempt: near.Attempt, Session: w.Session}, "", now))
+	s.Pending = append(s.Pending, record("batch", task.KindBatch, task.PriorityNormal, size(1, 1)))
+	again := Make(s, random())
+	is.Equal(len(again.Evictions), 0)
+	is.Equal(len(again.Assignments), 0)
+}
+
+// TestWatchEvictedLast guards against urgent work that starves beside watches, or evicts a service.
+func TestWatchEvictedLast(t *testing.T) {
+	is := is.New(t)
+	w := worker(0)
+	watch := running(&w, record("watch", task.KindWatch, task.PriorityLow, size(8, 30)), 0)
+	running(&w, record("service", task.KindService, task.PriorityLow, size(8, 30)), 0)
+	s := snapshot(w)
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(8, 30))}
+	is.Equal(Make(s, random()).Evictions[0].TaskID, watch.ID)
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(16, 60))}
+	is.Equal(len(Make(s, random()).Evictions), 0)
+}
+
+// TestDrain guards against a drain in the wrong order, faster than other zones have room, or
+// without a reason for what stays.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	leaving, other := worker(1), worker(0)
+	running(&leaving, record("far", task.KindBatch, task.PriorityNormal, size(4, 8)), 900)
+	near := running(&leaving, record("near", task.KindBatch, task.PriorityNormal, size(4, 8)), 100)
+	watch := running(&leaving, record("watch", task.KindWatch, task.PriorityNormal, size(4, 8)), 0)
+	running(&other, record("held", task.KindBatch, task.PriorityNormal, size(8, 8)), 0)
+	s := snapshot(other, leaving)
+	s.Document = document("b")
+	plan := Make(s, random())
+	is.Equal(len(plan.Evictions), 2)
+	is.Equal(plan.Evictions[0].TaskID, watch.ID)
+	is.Equal(plan.Evictions[1].TaskID, near.ID)
+	is.Equal(plan.Unscheduled[0].Cause, CauseCannotMove)
+	is.Equal(plan.Unscheduled[0].Filtered, []FilterCount{{ReasonZoneOutOfService, 1}, {ReasonProcessors, 1}})
+}
+
+// TestInterferenceAvoided guards against a placement that ignores what was learned.
+func TestInterferenceAvoided(t *testing.T) {
+	is := is.New(t)
+	beside, apart := worker(0), worker(3)
+	running(&beside, record("svc", task.KindService, task.PriorityUrgent, size(2, 2)), 0).Spec.Class = "service"
+	s := snapshot(beside, apart)
+	for range 200 {
+		s.Model.Observe(interference.Observation{Class: "service", Neighbours: map[string]int{"c0": 1}, Slowdown: 3, At: now})
+	}
+	s.Pending = []*task.Record{record("batch", task.KindBatch, task.PriorityNormal, size(2, 2))}
+	is.Equal(Make(s, random()).Assignments[0].Worker, apart.Name)
+}
+
+// TestFailedElsewhere guards against a retry on the worker where the task failed.
+func TestFailedElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0))
+	r := record("batch", task.KindBatch, task.PriorityNormal, size(2, 2))
+	r.Failures = []task.Failure{{Worker: "w0", Attempt: 1}}
+	s.Pending = []*task.Record{r}
+	plan := Make(s, random())
+	is.Equal(len(plan.Assignments), 0)
+	is.Equal(plan.Unscheduled[0].Filtered, []FilterCount{{ReasonFailedHere, 1}})
+}
+
+// TestSpread guards against two replicas of a service in one rack while another is empty.
+func TestSpread(t *testing.T) {
+	is := is.New(t)
+	s := snapshot()
+	for i := range 9 {
+		s.Workers = append(s.Workers, worker(i))
+	}
+	for i := range 3 {
+		r := record(fmt.Sprintf("s%d", i), task.KindService, task.PriorityUrgent, size(1, 1))
+		r.Spec.Service = "rail"
+		s.Pending = append(s.Pending, r)
+	}
+	zones := map[byte]bool{}
+	for _, a := range Make(s, random()).Assignments {
+		zones[(a.Worker[1]-'0')%3] = true
+	}
+	is.Equal(len(zones), 3)
+}
+
+// TestObservedUse guards against overloading a worker with underdeclared tasks, and against
+// counting room that declared sizes occupy.
+func TestObservedUse(t *testing.T) {
+	is := is.New(t)
+	place := func(sizes *Sizes) int {
+		s := snapshot(worker(0))
+		s.Sizes = sizes
+		for i := range 20 {
+			s.Pending = append(s.Pending, record(fmt.Sprintf("j%d", i), task.KindBatch, task.PriorityNormal, size(2, 2)))
+		}
+		return len(Make(s, random()).Assignments)
+	}
+	is.Equal(place(NewSizes()), 8)
+	over, under := NewSizes(), NewSizes()
+	for range 50 {
+		over.Observe("t0", "c0", size(2, 2), size(4, 2))
+		under.Observe("t0", "c0", size(2, 2), size(1, 1))
+	}
+	is.Equal(place(over), 4)
+	is.Equal(place(under), 8)
+}
+
+// TestHealth guards against a faulty worker that keeps taking tasks, that is never tried again, and
+// against quarantining most workers for the fault of a job.
+func TestHealth(t *testing.T) {
+	is := is.New(t)
+	h := NewHealth()
+	for i := range 3 {
+		is.Equal(h.Status("w0", now), HealthGood)
+		h.Failed("w0", fmt.Sprint(i), 9, now)
+	}
+	is.Equal(h.Status("w0", now), HealthQuarantined)
+	probeAt := now.Add(firstProbeDelay)
+	is.Equal(h.Status("w0", probeAt), HealthProbe)
+	h.Probed("w0", probeAt)
+	is.Equal(h.Status("w0", probeAt), HealthQuarantined)
+	h.Failed("w0", "probe", 9, probeAt)
+	is.Equal(h.Status("w0", probeAt.Add(firstProbeDelay)), HealthQuarantined)
+	is.Equal(h.Status("w0", probeAt.Add(2*firstProbeDelay)), HealthProbe)
+	h.Succeeded("w0", now.Add(-time.Hour))
+	is.Equal(h.Status("w0", now), HealthQuarantined)
+	h.Succeeded("w0", probeAt)
+	is.Equal(h.Status("w0", now), HealthGood)
+	quarantined := 0
+	for w := range 9 {
+		name := fmt.Sprintf("w%d", w)
+		for i := range 5 {
+			h.Failed(name, fmt.Sprint(i), 9, now)
+		}
+		if h.Status(name, now) == HealthQuarantined {
+			quarantined++
+		}
+	}
+	is.True(quarantined >= 1 && quarantined <= 3)
+}
+
+// TestProbeTakesOne guards against a wave of tasks on a worker that is being probed.
+func TestProbeTakesOne(t *testing.T) {
+	is := is.New(t)
+	w := worker(0)
+	w.Health = HealthProbe
+	s := snapshot(w)
+	for i := range 4 {
+		s.Pending = append(s.Pending, record(fmt.Sprintf("j%d", i), task.KindBatch, task.PriorityNormal, size(1, 1)))
+	}
+	is.Equal(len(Make(s, random()).Assignments), 1)
+}
+
+// TestFeasible guards against accepting a task that no worker could ever hold.
+func TestFeasible(t *testing.T) {
+	is := is.New(t)
+	capacities := []Capacity{{"a", size(16, 60)}, {"b", size(32, 125)}}
+	spec := record("j", task.KindBatch, task.PriorityNormal, size(20, 10)).Spec
+	is.NoErr(Feasible(&spec, capacities))
+	spec.Zones = []string{"a"}
+	var infeasible *InfeasibleError
+	is.True(errors.As(Feasible(&spec, capacities), &infeasible))
+	is.Equal(infeasible.Filtered, []FilterCount{{ReasonZoneNotAllowed, 1}, {ReasonProcessors, 1}})
+}
+
+func BenchmarkMake(b *testing.B) {
+	for _, count := range []int{11, 100, 265} {
+		b.Run(fmt.Sprintf("workers=%d/pending=500", count), func(b *testing.B) {
+			s := snapshot()
+			for i := range count {
+				w := worker(i)
+				for j := range 8 {
+					r := record(fmt.Sprintf("h%d-%d", i, j), task.KindBatch, task.PriorityNormal, size(1, 2))
+					r.Spec.Class = fmt.Sprintf("c%d", j)
+					running(&w, r, 100)
+				}
+				s.Workers = append(s.Workers, w)
+			}
+			for i := range 500 {
+				r := record(fmt.Sprintf("p%d", i), task.KindBatch, task.Priority(1+i%3), size(1, 2))
+				r.Spec.Team, r.Spec.Class = fmt.Sprintf("t%d", i%4), fmt.Sprintf("c%d", i%8)
+				s.Pending = append(s.Pending, r)
+			}
+			source := random()
+			for b.Loop() {
+				Make(s, source)
+			}
+		})
+	}
+}
