--- /dev/null
+++ b/internal/routing/queue.go
@@ -0,0 +1,147 @@
+package routing
+
+import (
+	"container/heap"
+	"time"
+
+	"clementineflow/internal/task"
+)
+
+// QueueLimit is the number of requests that may wait per service and priority.
+const QueueLimit = 256
+
+// Refusal says why a request cannot wait.
+type Refusal uint8
+
+// Refusals of the queue.
+const (
+	Accepted Refusal = iota
+	// RefusedFull: the queue of the priority is full.
+	RefusedFull
+	// RefusedDeadline: with the requests ahead the deadline cannot be met.
+	RefusedDeadline
+)
+
+// Item is a request that waits for a worker.
+type Item struct {
+	ID       string
+	Priority task.Priority
+	Deadline time.Time
+	sequence uint64
+	index    int
+}
+
+// Queue holds the waiting requests of one service, ordered by priority, then deadline.
+type Queue struct {
+	items    itemHeap
+	byID     map[string]*Item
+	counts   map[task.Priority]int
+	sequence uint64
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue {
+	return &Queue{byID: make(map[string]*Item), counts: make(map[task.Priority]int)}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Count returns the number of waiting requests of a priority.
+func (q *Queue) Count(priority task.Priority) int { return q.counts[priority] }
+
+// Offer adds a request, or refuses it at once if it cannot wait. The second result is the expected wait.
+func (q *Queue) Offer(now time.Time, item Item, load Load) (Refusal, time.Duration) {
+	wait := q.expectedWait(item, load)
+	if q.counts[item.Priority] >= QueueLimit {
+		return RefusedFull, wait
+	}
+	if now.Add(wait + load.ServiceTime).After(item.Deadline) {
+		return RefusedDeadline, wait
+	}
+	q.sequence++
+	item.sequence = q.sequence
+	held := &item
+	q.byID[item.ID] = held
+	q.counts[item.Priority]++
+	heap.Push(&q.items, held)
+	return Accepted, wait
+}
+
+// expectedWait estimates the wait from the requests ahead: the workers free one slot per service
+// time and slot.
+func (q *Queue) expectedWait(item Item, load Load) time.Duration {
+	ahead := 0
+	for _, other := range q.items {
+		if other.before(&item) {
+			ahead++
+		}
+	}
+	if load.Limit <= 0 || load.InProgress < load.Limit && ahead == 0 {
+		return 0
+	}
+	return load.ServiceTime * time.Duration(ahead+1) / time.Duration(load.Limit)
+}
+
+// Pop removes and returns the first request.
+func (q *Queue) Pop() (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	item := heap.Pop(&q.items).(*Item)
+	q.forget(item)
+	return *item, true
+}
+
+// Remove drops a request that no longer waits.
+func (q *Queue) Remove(id string) bool {
+	item, ok := q.byID[id]
+	if !ok {
+		return false
+	}
+	heap.Remove(&q.items, item.index)
+	q.forget(item)
+	return true
+}
+
+// forget drops the bookkeeping of an item.
+func (q *Queue) forget(item *Item) {
+	delete(q.byID, item.ID)
+	q.counts[item.Priority]--
+}
+
+// before reports whether the item goes ahead of another: higher priority, then earlier deadline, then
+// earlier arrival.
+func (i *Item) before(other *Item) bool {
+	if i.Priority != other.Priority {
+		return i.Priority > other.Priority
+	}
+	if !i.Deadline.Equal(other.Deadline) {
+		return i.Deadline.Before(other.Deadline)
+	}
+	return i.sequence < other.sequence || other.sequence == 0
+}
+
+// itemHeap implements heap.Interface.
+type itemHeap []*Item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *itemHeap) Push(x any) {
+	item := x.(*Item)
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+
+func (h *itemHeap) Pop() any {
+	old := *h
+	item := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return item
+}
