--- /dev/null
+++ b/internal/frontend/failure.go
@@ -0,0 +1,119 @@
+package frontend
+
+import (
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"clementineflow/internal/admission"
+	"clementineflow/internal/frontend/exchange"
+	"clementineflow/internal/wire"
+)
+
+// Code is the error code that a caller gets.
+type Code string
+
+// Error codes.
+const (
+	CodeInvalid        Code = "invalid_request"
+	CodeTooLarge       Code = "too_large"
+	CodeUnknownService Code = "unknown_service"
+	CodeUnknownTeam    Code = "unknown_team"
+	CodeNotFound       Code = "not_found"
+	CodeOverLimit      Code = "over_limit"
+	CodeOverloaded     Code = "overloaded"
+	CodeUnavailable    Code = "unavailable"
+	CodeDeadline       Code = "deadline_exceeded"
+	CodeUnknown        Code = "outcome_unknown"
+)
+
+// Values of the outcome in answers.
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not-run"
+	outcomeUnknown  = "unknown"
+)
+
+// failure is an error as a caller gets it.
+type failure struct {
+	code       Code
+	message    string
+	retryAfter time.Duration
+	// unknown says that the request may have run.
+	unknown bool
+}
+
+// invalid returns a failure for a malformed request.
+func invalid(message string) *failure { return &failure{code: CodeInvalid, message: message} }
+
+// outcome returns the outcome of the failed request.
+func (f *failure) outcome() string {
+	if f.unknown {
+		return outcomeUnknown
+	}
+	return outcomeNotRun
+}
+
+// status returns the HTTP status of the failure.
+func (f *failure) status() int {
+	if f.unknown {
+		return fiber.StatusBadGateway
+	}
+	switch f.code {
+	case CodeInvalid, CodeUnknownService, CodeUnknownTeam:
+		return fiber.StatusBadRequest
+	case CodeTooLarge:
+		return fiber.StatusRequestEntityTooLarge
+	case CodeNotFound:
+		return fiber.StatusNotFound
+	case CodeOverLimit:
+		return fiber.StatusTooManyRequests
+	case CodeDeadline:
+		return fiber.StatusGatewayTimeout
+	default:
+		return fiber.StatusServiceUnavailable
+	}
+}
+
+// Times to retry after when nothing more exact is known.
+const (
+	retryAfterDrain = time.Second
+	retryAfterFull  = 500 * time.Millisecond
+)
+
+// refused returns the failure for a request that admission refused.
+func refused(decision admission.Decision) *failure {
+	switch decision.Reason {
+	case admission.UnknownTeam:
+		return &failure{code: CodeUnknownTeam, message: "the team is not configured"}
+	case admission.Shed:
+		return &failure{code: CodeOverloaded, message: "overloaded: the priority is shed", retryAfter: decision.RetryAfter}
+	default:
+		return &failure{
+			code: CodeOverLimit, message: "over a limit: " + decision.Reason.String(),
+			retryAfter: decision.RetryAfter,
+		}
+	}
+}
+
+// failureOf returns the failure for a result without an answer.
+func failureOf(result *exchange.Result) *failure {
+	if result.Outcome != wire.OutcomeNotRun {
+		return &failure{code: CodeUnknown, message: "the request may have run: " + result.Cause.String(), unknown: true}
+	}
+	f := &failure{code: CodeUnavailable, message: "not run: " + result.Cause.String(), retryAfter: result.RetryAfter}
+	switch result.Cause {
+	case exchange.CauseDeadline:
+		f.code = CodeDeadline
+	case exchange.CauseQueueFull:
+		f.code = CodeOverloaded
+	case exchange.CauseRefused:
+		if result.Reason == wire.NotRunInvalid {
+			f.code = CodeInvalid
+		}
+	}
+	if f.code != CodeInvalid && f.code != CodeDeadline && f.retryAfter == 0 {
+		f.retryAfter = retryAfterFull
+	}
+	return f
+}
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -145,3 +145,11 @@
 	*h = old[:len(old)-1]
 	return item
 }
+
+// Peek returns the first request without removing it.
+func (q *Queue) Peek() (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	return *q.items[0], true
+}
