--- a/internal/frontend/http.go
+++ b/internal/frontend/http.go
@@ -28,6 +28,10 @@
 const (
 	readTimeout = 30 * time.Second
 	idleTimeout = 2 * time.Minute
+	// readBodyBytes is how much of a body above MaxBodyBytes is read. The server closes the connection
+	// on a larger one, which resets it while the caller still writes; reading on lets the caller see the
+	// typed error.
+	readBodyBytes = 4 * MaxBodyBytes
 	// readBufferBytes bounds the size of a request's header.
 	readBufferBytes = 32 << 10
 )
@@ -36,7 +40,7 @@
 func (f *Frontend) App() *fiber.App {
 	app := fiber.New(fiber.Config{
 		AppName:        "clementineflow",
-		BodyLimit:      MaxBodyBytes,
+		BodyLimit:      readBodyBytes,
 		ReadBufferSize: readBufferBytes,
 		ReadTimeout:    readTimeout,
 		IdleTimeout:    idleTimeout,
