--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"net/netip"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/runtime"
+)
+
+// ErrConfig reports a Config that is incomplete or invalid.
+var ErrConfig = errors.New("agent: invalid configuration")
+
+// Config holds the settings and dependencies of an Agent.
+type Config struct {
+	// Name is the worker's name.
+	Name string
+	// Region, Zone and Rack are the place of the worker; Rack may be empty.
+	Region, Zone, Rack string
+	// Entries lists the link addresses of the entries that are dialled first.
+	Entries []string
+	// TargetListen is the loopback IP address and port of the HTTP server for target announcements;
+	// empty for none.
+	TargetListen string
+	Dialer       link.Dialer
+	Runtime      runtime.Runtime
+	Logger       *log.Logger
+}
+
+// validate returns ErrConfig if the configuration cannot be used.
+func (c Config) validate() error {
+	switch {
+	case c.Name == "" || c.Region == "" || c.Zone == "":
+		return errors.Wrap(ErrConfig, "name, region and zone are required")
+	case len(c.Entries) == 0:
+		return errors.Wrap(ErrConfig, "at least one entry is required")
+	case c.Dialer == nil || c.Runtime == nil || c.Logger == nil:
+		return errors.Wrap(ErrConfig, "dialer, runtime and logger are required")
+	}
+	return c.validateTargetListen()
+}
+
+// validateTargetListen returns ErrConfig unless the address is a loopback address: announcements are
+// not authenticated.
+func (c Config) validateTargetListen() error {
+	if c.TargetListen == "" {
+		return nil
+	}
+	address, err := netip.ParseAddrPort(c.TargetListen)
+	if err != nil || !address.Addr().IsLoopback() {
+		return errors.Wrapf(ErrConfig, "target listen address %q is not a loopback IP address and port", c.TargetListen)
+	}
+	return nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -134,6 +134,7 @@
 	l.refence(known)
 	if reply.Outcome == wire.OutcomeNotRun {
 		known.state, known.reason = stateRefused, reply.Reason
+		known.attempt = max(known.attempt, reply.Attempt)
 		return
 	}
 	known.state, known.finishedAt = stateFinished, now
