--- /dev/null
+++ b/internal/standin/worker/server.go
@@ -0,0 +1,115 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"clementineflow/internal/runtime"
+	"clementineflow/internal/runtime/httpruntime"
+)
+
+// ServeRuntime serves one call of the runtime's protocol.
+func (r *Runtime) ServeRuntime(request *fasthttp.RequestCtx) {
+	name, ok := strings.CutPrefix(string(request.Path()), httpruntime.PathPrefix)
+	if !ok || !request.IsPost() {
+		request.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	switch name {
+	case httpruntime.CallAttach:
+		serve(request, func(ctx context.Context, _ httpruntime.SessionRequest) (runtime.Attachment, error) {
+			return r.Attach(ctx)
+		})
+	case httpruntime.CallStart:
+		serve(request, func(ctx context.Context, q runtime.StartRequest) (httpruntime.EmptyResponse, error) {
+			return httpruntime.EmptyResponse{}, r.Start(ctx, q)
+		})
+	case httpruntime.CallRenew:
+		serve(request, func(ctx context.Context, q httpruntime.RenewRequest) (httpruntime.EmptyResponse, error) {
+			return httpruntime.EmptyResponse{}, r.Renew(ctx, q.Session, q.Lease)
+		})
+	case httpruntime.CallList:
+		serve(request, func(ctx context.Context, q httpruntime.SessionRequest) (httpruntime.ListResponse, error) {
+			tasks, err := r.List(ctx, q.Session)
+			return httpruntime.ListResponse{Tasks: tasks}, err
+		})
+	default:
+		r.serveAttempt(request, name)
+	}
+}
+
+// serveAttempt serves the calls about one attempt.
+func (r *Runtime) serveAttempt(request *fasthttp.RequestCtx, name string) {
+	switch name {
+	case httpruntime.CallEvict:
+		serve(request, func(ctx context.Context, q httpruntime.AttemptRequest) (httpruntime.EvictResponse, error) {
+			checkpoint, err := r.Evict(ctx, q.Session, q.TaskID, q.Attempt)
+			return httpruntime.EvictResponse{Checkpoint: checkpoint}, err
+		})
+	case httpruntime.CallStop:
+		serve(request, func(ctx context.Context, q httpruntime.AttemptRequest) (httpruntime.EmptyResponse, error) {
+			return httpruntime.EmptyResponse{}, r.Stop(ctx, q.Session, q.TaskID, q.Attempt)
+		})
+	case httpruntime.CallThrottle:
+		serve(request, func(ctx context.Context, q httpruntime.ThrottleRequest) (httpruntime.EmptyResponse, error) {
+			return httpruntime.EmptyResponse{}, r.Throttle(ctx, q.Session, q.TaskID, q.Permille)
+		})
+	case httpruntime.CallForget:
+		serve(request, func(ctx context.Context, q httpruntime.AttemptRequest) (httpruntime.EmptyResponse, error) {
+			return httpruntime.EmptyResponse{}, r.Forget(ctx, q.Session, q.TaskID, q.Attempt)
+		})
+	default:
+		request.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+// serve decodes a question, calls the function and encodes its answer or error.
+func serve[Question, Answer any](request *fasthttp.RequestCtx, handle func(context.Context, Question) (Answer, error)) {
+	var question Question
+	if err := json.Unmarshal(request.PostBody(), &question); err != nil {
+		writeJSON(request, fasthttp.StatusBadRequest, httpruntime.ErrorBody{Code: httpruntime.CodeUnavailable, Message: err.Error()})
+		return
+	}
+	answer, err := handle(request, question)
+	switch {
+	case err == nil:
+		writeJSON(request, fasthttp.StatusOK, answer)
+	case errors.Is(err, runtime.ErrOutcomeUnknown):
+		// The connection is closed without an answer, as when the runtime dies after the effect.
+		request.HijackSetNoResponse(true)
+		request.SetConnectionClose()
+		_ = request.Conn().Close()
+	default:
+		writeJSON(request, fasthttp.StatusConflict, httpruntime.ErrorBody{Code: errorCode(err), Message: err.Error()})
+	}
+}
+
+// errorCode returns the protocol's code of an error.
+func errorCode(err error) string {
+	switch {
+	case errors.Is(err, runtime.ErrStaleSession):
+		return httpruntime.CodeStaleSession
+	case errors.Is(err, runtime.ErrNotFound):
+		return httpruntime.CodeNotFound
+	case errors.Is(err, runtime.ErrConflict):
+		return httpruntime.CodeConflict
+	default:
+		return httpruntime.CodeUnavailable
+	}
+}
+
+// writeJSON writes an answer.
+func writeJSON[Body any](request *fasthttp.RequestCtx, status int, body Body) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		request.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	request.SetStatusCode(status)
+	request.SetContentType("application/json")
+	request.SetBody(encoded)
+}
