Add strict settings with every fault in one run

A settings file with several mistakes takes several restarts to correct if only the first is reported, and a bare number as a duration or size is read in the wrong unit.

Each fault has file, line, column, key, what was found and what is allowed. Durations and sizes need units. A listen address that is not loopback needs TLS or allow_plaintext_on_all_interfaces.

--- /dev/null
+++ b/internal/settings/decode.go
@@ -0,0 +1,164 @@
+package settings
+
+import (
+	"regexp"
+	"time"
+)
+
+// Limits and defaults of the settings.
+const (
+	defaultStoreTimeout = time.Second
+	minStoreTimeout     = 50 * time.Millisecond
+	// maxStoreTimeout is the registration's TTL: a longer call could not confirm anything.
+	maxStoreTimeout     = 3 * time.Second
+	defaultStopTimeout  = 30 * time.Second
+	minStopTimeout      = time.Second
+	maxStopTimeout      = 10 * time.Minute
+	defaultLogQueue     = 4096
+	minLogQueue         = 16
+	maxLogQueue         = 1 << 16
+	maxProcessors       = 4096
+	minMemoryBytes      = 64e6
+	maxMemoryBytes      = 64e12
+	maxAccelerators     = 1024
+	maxSlots            = 4096
+	maxConnections      = 65536
+	millisPerProcessor  = 1000
+	allowedName         = "1 to 63 lower-case letters, digits and hyphens, starting with a letter"
+	allowedFile         = "the path of a PEM file"
+	allowedPlaintextFix = "a loopback address, tls, or allow_plaintext_on_all_interfaces: true"
+)
+
+// namePattern keeps names usable in metric labels, store keys and host names.
+var namePattern = regexp.MustCompile(`^[a-z]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Decode decodes a settings file. The file name is used in faults only. A faulty file gives a Faults
+// error that holds all faults.
+func Decode(file string, data []byte) (*Settings, error) {
+	d := &decoder{file: file}
+	root := d.parse(data)
+	if root == nil {
+		return nil, d.faults.sorted()
+	}
+	decoded := decodeSettings(root)
+	root.finish()
+	if err := d.faults.sorted(); err != nil {
+		return nil, err
+	}
+	return decoded, nil
+}
+
+func decodeSettings(root *section) *Settings {
+	s := &Settings{
+		Role:        Role(root.choice("role", "", string(RoleEntry), string(RoleAgent))),
+		Name:        root.name("name", required),
+		Region:      root.name("region", required),
+		Zone:        root.name("zone", required),
+		Rack:        root.name("rack", required),
+		StopTimeout: root.duration("stop_timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout),
+		Log:         decodeLog(root.child("log")),
+		TLS:         decodeTLS(root.child("tls")),
+	}
+	s.AllowPlaintextOnAllInterfaces = root.boolean("allow_plaintext_on_all_interfaces")
+	if s.AllowPlaintextOnAllInterfaces && s.TLS.Enabled() {
+		root.contradiction("allow_plaintext_on_all_interfaces", "true together with tls", "one of the two")
+	}
+	plaintext := !s.TLS.Enabled() && !s.AllowPlaintextOnAllInterfaces
+	switch s.Role {
+	case RoleEntry:
+		decodeEntry(root, s, plaintext)
+	case RoleAgent:
+		decodeAgent(root, s, plaintext)
+	default:
+		// The role decides which of these keys exist, so none of them is reported as unknown.
+		for _, name := range []string{"listen", "advertise", "store", "entries", "runtime", "worker"} {
+			root.known[name] = true
+		}
+	}
+	return s
+}
+
+// name returns a name that satisfies namePattern.
+func (s *section) name(name string, presence presence) string {
+	text := s.text(name, presence, allowedName)
+	if text != "" && !namePattern.MatchString(text) {
+		s.decoder.add(FaultValue, s.at(name), s.key(name), describe(s.at(name)), allowedName)
+	}
+	return text
+}
+
+func decodeLog(s *section) Log {
+	decoded := Log{
+		Level:      s.choice("level", "info", "debug", "info", "warn", "error"),
+		Format:     s.choice("format", "text", "text", "json"),
+		QueueLines: int(s.integer("queue_lines", defaultLogQueue, minLogQueue, maxLogQueue)),
+	}
+	s.finish()
+	return decoded
+}
+
+func decodeTLS(s *section) TLS {
+	decoded := TLS{
+		Certificate: s.text("certificate", optional, allowedFile),
+		Key:         s.text("key", optional, allowedFile),
+		ClientCA:    s.text("client_ca", optional, allowedFile),
+	}
+	if decoded != (TLS{}) {
+		for _, name := range []string{"certificate", "key", "client_ca"} {
+			if !s.has(name) {
+				s.missing(name, allowedFile+"; certificate, key and client_ca belong together")
+			}
+		}
+	}
+	s.finish()
+	return decoded
+}
+
+func decodeEntry(root *section, s *Settings, plaintext bool) {
+	listen := root.child("listen")
+	s.Listen = Listen{
+		Callers:   listen.address("callers", required, plaintext),
+		Operators: listen.address("operators", required, plaintext),
+		Links:     listen.address("links", required, plaintext),
+		Metrics:   listen.address("metrics", required, plaintext),
+	}
+	listen.finish()
+	advertise := root.child("advertise")
+	s.Advertise = Advertise{
+		Operators: advertise.advertised("operators", s.Listen.Operators),
+		Links:     advertise.advertised("links", s.Listen.Links),
+	}
+	advertise.finish()
+	store := root.child("store")
+	s.Store = Store{
+		Address: store.dialAddress("address", required),
+		Timeout: store.duration("timeout", defaultStoreTimeout, minStoreTimeout, maxStoreTimeout),
+	}
+	store.finish()
+	s.Entries = root.dialAddresses("entries", optional)
+}
+
+func decodeAgent(root *section, s *Settings, plaintext bool) {
+	listen := root.child("listen")
+	s.Listen = Listen{
+		Metrics: listen.address("metrics", required, plaintext),
+		Targets: listen.loopbackAddress("targets"),
+	}
+	listen.finish()
+	s.Entries = root.dialAddresses("entries", required)
+	runtime := root.child("runtime")
+	s.Runtime = runtime.dialAddress("address", required)
+	runtime.finish()
+	worker := root.child("worker")
+	s.Worker = Worker{
+		MilliCPU:     worker.integer("processors", 0, 1, maxProcessors) * millisPerProcessor,
+		MemoryBytes:  worker.size("memory", 0, minMemoryBytes, maxMemoryBytes),
+		Accelerators: worker.integer("accelerators", 0, 0, maxAccelerators),
+		Slots:        int(worker.integer("slots", 0, 1, maxSlots)),
+		Connections:  int(worker.integer("connections", 0, 1, maxConnections)),
+	}
+	if s.Worker.Slots > 0 && s.Worker.Connections > 0 && s.Worker.Connections < s.Worker.Slots {
+		worker.contradiction("connections", "fewer connections than slots", "at least the number of slots")
+	}
+	worker.finish()
+}
