--- /dev/null
+++ b/cmd/clementined/check_test.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestCheckExitCodes guards against a check that passes a faulty file or exits with another code.
+func TestCheckExitCodes(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	is.NoErr((&checkCommand{Settings: "../../examples/bc-coast/entry.yaml"}).Run(&output))
+	path := filepath.Join(t.TempDir(), "bad.yaml")
+	is.NoErr(os.WriteFile(path, []byte("role: entry\nfoo: 1\n"), 0o600))
+	err := (&checkCommand{Settings: path}).Run(&output)
+	var coded interface{ ExitCode() int }
+	is.True(errors.As(err, &coded))
+	is.Equal(coded.ExitCode(), 2)
+}
--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -11,8 +13,10 @@
 
 // commandLine is the command line of clementined.
 type commandLine struct {
-	Agent agentCommand `cmd:"" help:"Run the agent beside a target."`
-	Entry entryCommand `cmd:"" help:"Run an entry."`
+	Agent   agentCommand   `cmd:"" help:"Run the agent beside a target."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file; exit with 0 if it is valid, 2 if not."`
+	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
 func main() {
@@ -21,5 +25,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	parser.BindTo(ctx, (*context.Context)(nil))
+	parser.BindTo(os.Stdout, (*io.Writer)(nil))
 	parser.FatalIfErrorf(parser.Run())
 }
--- /dev/null
+++ b/cmd/clementined/version.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"clementineflow/internal/version"
+)
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// Run prints one line.
+func (c *versionCommand) Run(output io.Writer) error {
+	_, err := fmt.Fprintln(output, "clementined", version.String())
+	return err
+}
