--- a/internal/operator/convert_configuration.go
+++ b/internal/operator/convert_configuration.go
@@ -27,7 +27,8 @@
 	}
 }
 
-func serviceToMessage(s configuration.Service) *operatorv1.Service {
+// ServiceToMessage converts a service.
+func ServiceToMessage(s configuration.Service) *operatorv1.Service {
 	return &operatorv1.Service{
 		Name: s.Name, Team: s.Team, Class: s.Class, Replicas: int32(s.Replicas),
 		Size: quantityToMessage(s.Size), Timeout: durationToMessage(s.Timeout),
@@ -59,7 +60,7 @@
 		message.Teams = append(message.Teams, teamToMessage(team))
 	}
 	for _, service := range d.Services {
-		message.Services = append(message.Services, serviceToMessage(service))
+		message.Services = append(message.Services, ServiceToMessage(service))
 	}
 	return message
 }
--- a/internal/operator/convert_task.go
+++ b/internal/operator/convert_task.go
@@ -41,7 +41,8 @@
 // The numbers of kinds, priorities and states are the same in the schema and in internal/task;
 // TestEnumerations checks it.
 
-func specToMessage(s task.Spec) *operatorv1.TaskSpec {
+// SpecToMessage converts a task specification.
+func SpecToMessage(s task.Spec) *operatorv1.TaskSpec {
 	return &operatorv1.TaskSpec{
 		Name: s.Name, Kind: operatorv1.TaskKind(s.Kind), Team: s.Team, Class: s.Class,
 		Priority: operatorv1.Priority(s.Priority), Size: quantityToMessage(s.Size),
@@ -66,7 +67,7 @@
 
 func taskToMessage(r task.Record) *operatorv1.Task {
 	message := &operatorv1.Task{
-		Id: r.ID, Spec: specToMessage(r.Spec), State: operatorv1.TaskState(r.State), Attempt: r.Attempt,
+		Id: r.ID, Spec: SpecToMessage(r.Spec), State: operatorv1.TaskState(r.State), Attempt: r.Attempt,
 		Worker: r.Worker, Checkpoint: r.Checkpoint, CreatedAt: timeToMessage(r.CreatedAt),
 		UpdatedAt: timeToMessage(r.UpdatedAt), Result: r.Result, Reason: r.Reason, Evictions: r.Evictions,
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -82,7 +82,9 @@
 	}
 	close(s.stopping)
 	stop(server)
-	<-served
+	if err := <-served; err != nil {
+		return errors.Wrap(err, "stop serving operators")
+	}
 	return ctx.Err()
 }
 
--- a/internal/operator/server_services.go
+++ b/internal/operator/server_services.go
@@ -62,7 +62,7 @@
 	if !ok {
 		return nil, Errorf(CodeServiceNotFound, "service %q does not exist", name)
 	}
-	return serviceToMessage(service), nil
+	return ServiceToMessage(service), nil
 }
 
 // ListServices returns one page of the services in the order of their names.
@@ -87,7 +87,7 @@
 	services, next := cut(page, from(page, services, name), name)
 	response := &operatorv1.ListServicesResponse{NextPageToken: next}
 	for _, service := range services {
-		response.Services = append(response.Services, serviceToMessage(service))
+		response.Services = append(response.Services, ServiceToMessage(service))
 	}
 	return response, nil
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -345,7 +345,7 @@
 		Name: "n", Kind: task.KindWatch, Team: "t", Class: "c", Priority: task.PriorityUrgent, Size: size,
 		ExpectedRunTime: time.Minute, NonIdempotent: true, Zones: []string{"z"}, SpreadGroup: "g", Payload: []byte("p"),
 	}
-	is.Equal(specFromMessage(specToMessage(spec)), spec)
+	is.Equal(specFromMessage(SpecToMessage(spec)), spec)
 	document := configuration.Document{
 		Revision: 4, Region: "r", Entries: []string{"a"},
 		Zones:    []configuration.Zone{{Name: "z", OutOfService: true, Reason: "x"}},
--- a/internal/settings/address.go
+++ b/internal/settings/address.go
@@ -13,10 +13,10 @@
 	allowedLoopback = "a loopback IP address and port, such as 127.0.0.1:7460"
 )
 
-// address returns a listen address. If plaintext is set, an address that is not loopback is a
+// address returns a required listen address. If plaintext is set, an address that is not loopback is a
 // contradiction.
-func (s *section) address(name string, presence presence, plaintext bool) string {
-	text, parsed, ok := s.addressPort(name, presence, allowedListen)
+func (s *section) address(name string, plaintext bool) string {
+	text, parsed, ok := s.addressPort(name, allowedListen)
 	if ok && plaintext && !parsed.Addr().IsLoopback() {
 		s.contradiction(name, text+" without tls", allowedPlaintextFix)
 	}
@@ -25,7 +25,7 @@
 
 // loopbackAddress returns a listen address that must be loopback.
 func (s *section) loopbackAddress(name string) string {
-	text, parsed, ok := s.addressPort(name, required, allowedLoopback)
+	text, parsed, ok := s.addressPort(name, allowedLoopback)
 	if ok && !parsed.Addr().IsLoopback() {
 		s.decoder.add(FaultValue, s.at(name), s.key(name), describe(s.at(name)), allowedLoopback)
 	}
@@ -36,7 +36,7 @@
 // must name one interface.
 func (s *section) advertised(name, listen string) string {
 	if s.has(name) {
-		return s.dialAddress(name, required)
+		return s.dialAddress(name)
 	}
 	parsed, err := netip.ParseAddrPort(listen)
 	if err == nil && parsed.Addr().IsUnspecified() {
@@ -46,8 +46,8 @@
 }
 
 // dialAddress returns an address to dial, which must name one host.
-func (s *section) dialAddress(name string, presence presence) string {
-	text, parsed, ok := s.addressPort(name, presence, allowedDial)
+func (s *section) dialAddress(name string) string {
+	text, parsed, ok := s.addressPort(name, allowedDial)
 	if ok && parsed.Addr().IsUnspecified() {
 		s.decoder.add(FaultValue, s.at(name), s.key(name), describe(s.at(name)), allowedDial)
 	}
@@ -79,12 +79,10 @@
 	return addresses
 }
 
-func (s *section) addressPort(name string, presence presence, allowed string) (string, netip.AddrPort, bool) {
+func (s *section) addressPort(name, allowed string) (string, netip.AddrPort, bool) {
 	value, ok := s.take(name)
 	if !ok {
-		if presence == required {
-			s.missing(name, allowed)
-		}
+		s.missing(name, allowed)
 		return "", netip.AddrPort{}, false
 	}
 	return s.decoder.parseAddress(value, s.key(name), allowed)
--- a/internal/settings/configuration.go
+++ b/internal/settings/configuration.go
@@ -40,7 +40,7 @@
 func decodeDocument(root *section) *configuration.Document {
 	document := &configuration.Document{
 		Revision: uint64(root.integer("revision", 0, 0, 1<<62)),
-		Region:   root.name("region", required),
+		Region:   root.name("region"),
 		Entries:  root.texts("entries", required, "names of entries"),
 	}
 	root.eachNamed("zones", required, func(s *section) {
@@ -80,7 +80,7 @@
 
 func decodeZone(s *section) configuration.Zone {
 	return configuration.Zone{
-		Name:         s.name("name", required),
+		Name:         s.name("name"),
 		OutOfService: s.boolean("out_of_service"),
 		Reason:       s.text("reason", optional, "a reason"),
 	}
@@ -88,7 +88,7 @@
 
 func decodeTeam(s *section) configuration.Team {
 	return configuration.Team{
-		Name:              s.name("name", required),
+		Name:              s.name("name"),
 		Quota:             decodeQuantity(s.child("quota")),
 		Weight:            int(s.integer("weight", 1, 1, maxWeight)),
 		RequestsPerSecond: int(s.integer("requests_per_second", 0, 0, maxRequestsPerSec)),
@@ -97,8 +97,8 @@
 
 func decodeService(s *section) configuration.Service {
 	return configuration.Service{
-		Name:             s.name("name", required),
-		Team:             s.name("team", required),
+		Name:             s.name("name"),
+		Team:             s.name("team"),
 		Class:            s.text("class", required, allowedClass),
 		Replicas:         int(s.integer("replicas", 0, 0, maxReplicas)),
 		Size:             decodeQuantity(s.child("size")),
@@ -160,7 +160,7 @@
 	return &task.Spec{
 		Name:            root.text("name", required, "a name that is unique for the team"),
 		Kind:            kinds[root.choice("kind", "batch", "batch", "watch")],
-		Team:            root.name("team", required),
+		Team:            root.name("team"),
 		Class:           root.text("class", required, allowedClass),
 		Priority:        priorities[root.choice("priority", "normal", "low", "normal", "urgent")],
 		Size:            decodeQuantity(root.child("size")),
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -51,10 +51,10 @@
 func decodeSettings(root *section) *Settings {
 	s := &Settings{
 		Role:        Role(root.choice("role", "", string(RoleEntry), string(RoleAgent))),
-		Name:        root.name("name", required),
-		Region:      root.name("region", required),
-		Zone:        root.name("zone", required),
-		Rack:        root.name("rack", required),
+		Name:        root.name("name"),
+		Region:      root.name("region"),
+		Zone:        root.name("zone"),
+		Rack:        root.name("rack"),
 		StopTimeout: root.duration("stop_timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout),
 		Log:         decodeLog(root.child("log")),
 		TLS:         decodeTLS(root.child("tls")),
@@ -78,9 +78,9 @@
 	return s
 }
 
-// name returns a name that satisfies namePattern.
-func (s *section) name(name string, presence presence) string {
-	text := s.text(name, presence, allowedName)
+// name returns a required name that satisfies namePattern.
+func (s *section) name(name string) string {
+	text := s.text(name, required, allowedName)
 	if text != "" && !namePattern.MatchString(text) {
 		s.decoder.add(FaultValue, s.at(name), s.key(name), describe(s.at(name)), allowedName)
 	}
@@ -117,10 +117,10 @@
 func decodeEntry(root *section, s *Settings, plaintext bool) {
 	listen := root.child("listen")
 	s.Listen = Listen{
-		Callers:   listen.address("callers", required, plaintext),
-		Operators: listen.address("operators", required, plaintext),
-		Links:     listen.address("links", required, plaintext),
-		Metrics:   listen.address("metrics", required, plaintext),
+		Callers:   listen.address("callers", plaintext),
+		Operators: listen.address("operators", plaintext),
+		Links:     listen.address("links", plaintext),
+		Metrics:   listen.address("metrics", plaintext),
 	}
 	listen.finish()
 	advertise := root.child("advertise")
@@ -131,7 +131,7 @@
 	advertise.finish()
 	store := root.child("store")
 	s.Store = Store{
-		Address: store.dialAddress("address", required),
+		Address: store.dialAddress("address"),
 		Timeout: store.duration("timeout", defaultStoreTimeout, minStoreTimeout, maxStoreTimeout),
 	}
 	store.finish()
@@ -141,13 +141,13 @@
 func decodeAgent(root *section, s *Settings, plaintext bool) {
 	listen := root.child("listen")
 	s.Listen = Listen{
-		Metrics: listen.address("metrics", required, plaintext),
+		Metrics: listen.address("metrics", plaintext),
 		Targets: listen.loopbackAddress("targets"),
 	}
 	listen.finish()
 	s.Entries = root.dialAddresses("entries", required)
 	runtime := root.child("runtime")
-	s.Runtime = runtime.dialAddress("address", required)
+	s.Runtime = runtime.dialAddress("address")
 	runtime.finish()
 	worker := root.child("worker")
 	s.Worker = Worker{
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -65,7 +65,9 @@
 	if err := s.http.Shutdown(shutdown); err != nil {
 		_ = s.http.Close()
 	}
-	<-served
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "stop serving metrics and health")
+	}
 	return ctx.Err()
 }
 
