--- /dev/null
+++ b/internal/membership/watch.go
@@ -0,0 +1,130 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// watch follows the registrations and opens the watch again when it ends.
+func (m *Member) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.follow(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(rewatchDelay):
+		}
+	}
+}
+
+func (m *Member) follow(ctx context.Context) {
+	watcher, err := m.config.Store.Watch(ctx, m.prefix, m.seen())
+	if err != nil {
+		return
+	}
+	defer watcher.Close()
+	for {
+		event, err := watcher.Next(ctx)
+		if err != nil {
+			return
+		}
+		m.apply(event)
+	}
+}
+
+// seen returns the highest revision known, from which a new watch continues.
+func (m *Member) seen() store.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var highest store.Revision
+	for _, known := range m.roster.members {
+		highest = max(highest, known.revision)
+	}
+	return highest
+}
+
+func (m *Member) apply(event store.Event) {
+	if event.Deleted {
+		m.mu.Lock()
+		changed := m.roster.remove(event.Key, event.Revision, time.Now())
+		m.dropOwnLocked(event.Key, event.Revision)
+		m.mu.Unlock()
+		m.notify(changed)
+		return
+	}
+	m.notify(m.put(event.KeyValue))
+}
+
+func (m *Member) put(value store.KeyValue) bool {
+	entry, err := wire.Unmarshal[Entry](value.Value)
+	if err != nil {
+		m.config.Logger.Error("ignoring a malformed registration", "key", value.Key, "error", err)
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if entry.Incarnation != m.config.Self.Incarnation {
+		m.dropOwnLocked(value.Key, value.Revision)
+	}
+	return m.roster.put(value, *entry, time.Now())
+}
+
+// dropOwnLocked notes that the own key is gone or was replaced, although its lease may still be
+// renewed; the next renewal registers again.
+func (m *Member) dropOwnLocked(key string, revision store.Revision) {
+	if key == m.key() && m.registration.revision != 0 && revision > m.registration.revision {
+		m.registration.revision = 0
+	}
+}
+
+func (m *Member) notify(changed bool) {
+	if changed {
+		m.changes.Notify()
+	}
+}
+
+// relist lists the registrations every RelistInterval, since a watch can miss events.
+func (m *Member) relist(ctx context.Context) {
+	ticker := time.NewTicker(RelistInterval)
+	defer ticker.Stop()
+	for {
+		m.list(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Member) list(ctx context.Context) {
+	m.mu.Lock()
+	before := m.roster.changes
+	first := m.roster.listed.IsZero()
+	own := m.registration
+	m.mu.Unlock()
+	sent := time.Now()
+	var values []store.KeyValue
+	err := m.call(ctx, func(ctx context.Context) (err error) {
+		values, err = m.config.Store.List(ctx, m.prefix)
+		return err
+	})
+	if err != nil {
+		return
+	}
+	changed := first
+	present := make(map[string]bool, len(values))
+	for _, value := range values {
+		present[value.Key] = true
+		changed = m.put(value) || changed
+	}
+	m.mu.Lock()
+	changed = m.roster.finishList(present, before, sent, time.Now()) || changed
+	if !present[m.key()] && m.registration == own {
+		m.registration.revision = 0
+	}
+	m.mu.Unlock()
+	m.notify(changed)
+}
