--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -85,6 +85,9 @@
 	}
 	unresolved := false
 	for {
+		if unresolved && f.applied(ctx, next) {
+			return next.Revision, nil
+		}
 		revision, err := f.swap(ctx, expected, data)
 		var conflict *store.ConflictError
 		switch {
@@ -106,6 +109,16 @@
 	}
 }
 
+// applied reads back whether the document in the store is next.
+func (f *Follower) applied(ctx context.Context, next *Document) bool {
+	current, revision, err := f.read(ctx)
+	if err != nil {
+		return false
+	}
+	f.adopt(current, revision)
+	return current.CommitID == next.CommitID
+}
+
 func (f *Follower) swap(ctx context.Context, expected store.Revision, data []byte) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
