--- /dev/null
+++ b/internal/shard/manager_test.go
@@ -0,0 +1,443 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/membership"
+	"clementineflow/internal/standin/kvstore"
+	"clementineflow/internal/store"
+	"clementineflow/internal/task"
+	"clementineflow/internal/wire"
+)
+
+const testRegion = "bc-coast"
+
+// gate is a store whose caller can be frozen: a frozen call is sent after the freeze, even if its
+// context has ended by then, as the call of a process that was paused just before sending.
+type gate struct {
+	store.Store
+	mu     sync.Mutex
+	frozen chan struct{}
+}
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frozen == nil {
+		g.frozen = make(chan struct{})
+	}
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frozen != nil {
+		close(g.frozen)
+		g.frozen = nil
+	}
+}
+
+func (g *gate) pass(ctx context.Context) context.Context {
+	g.mu.Lock()
+	frozen := g.frozen
+	g.mu.Unlock()
+	if frozen == nil {
+		return ctx
+	}
+	<-frozen
+	return context.WithoutCancel(ctx)
+}
+
+func (g *gate) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	return g.Store.Get(g.pass(ctx), key)
+}
+
+func (g *gate) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	return g.Store.CompareAndSwap(g.pass(ctx), key, expected, value, lease)
+}
+
+func (g *gate) RenewLease(ctx context.Context, lease store.LeaseID) error {
+	return g.Store.RenewLease(g.pass(ctx), lease)
+}
+
+// node is one entry with its registration, its shards and the faults of its store connection.
+type node struct {
+	faulty  *kvstore.Faulty
+	gate    *gate
+	member  *membership.Member
+	manager *Manager
+	stop    func()
+}
+
+func startNode(t *testing.T, name string, memory store.Store, seed uint64) *node {
+	t.Helper()
+	n := &node{faulty: kvstore.NewFaulty(memory, seed)}
+	n.gate = &gate{Store: n.faulty}
+	logger := log.New(io.Discard)
+	n.member = membership.New(membership.Config{
+		Region: testRegion, Store: n.gate, Logger: logger,
+		Self: membership.Entry{EntryAddress: wire.EntryAddress{Name: name}},
+	})
+	n.manager = NewManager(Config{Region: testRegion, Store: n.gate, Members: n.member, Logger: logger})
+	n.stop = n.run(t.Context())
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) run(ctx context.Context) func() {
+	memberCtx, stopMember := context.WithCancel(context.WithoutCancel(ctx))
+	managerCtx, stopManager := context.WithCancel(context.WithoutCancel(ctx))
+	var members, managers sync.WaitGroup
+	members.Go(func() { _ = n.member.Run(memberCtx) })
+	managers.Go(func() { _ = n.manager.Run(managerCtx) })
+	return func() {
+		n.gate.thaw()
+		stopManager()
+		managers.Wait()
+		stopMember()
+		members.Wait()
+	}
+}
+
+func addTask(id string) func(*Document) error {
+	return func(document *Document) error {
+		document.Tasks[id] = &task.Record{ID: id, State: task.StatePending}
+		return nil
+	}
+}
+
+func ownedBy(nodes ...*node) int {
+	owned := 0
+	for _, n := range nodes {
+		owned += len(n.manager.Owned())
+	}
+	return owned
+}
+
+// taskIn returns a task id that belongs to the shard.
+func taskIn(id uint16) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprint("t", i); ForTask(name) == id {
+			return name
+		}
+	}
+}
+
+// TestOwnershipFollowsEntries guards against shards without an owner, with two owners, or with an
+// owner other than the intended one, while entries come and go.
+func TestOwnershipFollowsEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := kvstore.NewMemory()
+		a := startNode(t, "a", memory, 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(ownedBy(a), Count)
+		b, c := startNode(t, "b", memory, 2), startNode(t, "c", memory, 3)
+		time.Sleep(3 * time.Second)
+		is.Equal(ownedBy(a, b, c), Count)
+		is.True(ownedBy(a) < Count && ownedBy(b) > 0 && ownedBy(c) > 0)
+		b.stop()
+		time.Sleep(time.Second)
+		is.Equal(ownedBy(a, c), Count) // a planned stop hands over without waiting for a lease
+		is.Equal(ownedBy(b), 0)
+		c.gate.freeze()
+		time.Sleep(membership.LeaseTTL + 1500*time.Millisecond)
+		is.Equal(ownedBy(a), Count)
+		c.gate.thaw()
+		time.Sleep(3 * time.Second)
+		is.Equal(ownedBy(a, c), Count)
+	})
+}
+
+// TestFrozenOwnerIsFenced guards against an owner that commits, or reports the shard as its own,
+// after it was replaced while frozen.
+func TestFrozenOwnerIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := kvstore.NewMemory()
+		a, b := startNode(t, "a", memory, 1), startNode(t, "b", memory, 2)
+		time.Sleep(3 * time.Second)
+		frozen := a.manager.Owned()[0]
+		epoch := frozen.Epoch()
+		a.gate.freeze()
+		result := make(chan error, 1)
+		go func() { result <- frozen.Propose(t.Context(), addTask(taskIn(frozen.ID()))) }()
+		time.Sleep(membership.LeaseTTL + 1500*time.Millisecond)
+		next, ok := b.manager.Shard(frozen.ID())
+		is.True(ok)
+		is.True(next.Epoch() > epoch)
+		is.NoErr(next.Propose(t.Context(), addTask("other")))
+		a.gate.thaw()
+		is.True(errors.Is(<-result, ErrNotOwner))
+		time.Sleep(5 * time.Second)
+		document, err := a.manager.Read(t.Context(), frozen.ID())
+		is.NoErr(err)
+		is.Equal(len(document.Tasks), 1)
+		is.Equal(ownedBy(a, b), Count)
+	})
+}
+
+// TestIdleReplacedOwnerNotices guards against an owner without proposals that keeps reporting a shard
+// that the store shows to be owned by another entry.
+func TestIdleReplacedOwnerNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := kvstore.NewMemory()
+		a, b := startNode(t, "a", memory, 1), startNode(t, "b", memory, 2)
+		time.Sleep(3 * time.Second)
+		held := len(a.manager.Owned())
+		is.True(held > 0)
+		a.faulty.SetFaults(kvstore.Faults{Down: true})
+		time.Sleep(10 * time.Second)
+		is.Equal(len(a.manager.Owned()), held) // the store is merely unreachable
+		is.Equal(ownedBy(b), Count)
+		err := a.manager.Owned()[0].Propose(t.Context(), addTask("x"))
+		is.True(errors.Is(err, ErrUnavailable))
+		b.gate.freeze() // so that it cannot release what it claimed
+		a.faulty.SetFaults(kvstore.Faults{})
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(ownedBy(a), 0)
+	})
+}
+
+// TestLostAnswer guards against a commit that is reported as failed although it was applied, and
+// against a late write that takes effect after its failure was reported.
+func TestLostAnswer(t *testing.T) {
+	for _, faults := range []kvstore.Faults{
+		{LoseAnswers: 1},
+		{LateWrites: 1, LateWriteMillis: 50},
+		{LateWrites: 2, LateWriteMillis: 2000},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			a := startNode(t, "a", kvstore.NewMemory(), 1)
+			time.Sleep(2 * time.Second)
+			owned := a.manager.Owned()[0]
+			a.faulty.SetFaults(faults)
+			is.NoErr(owned.Propose(t.Context(), addTask("x")))
+			time.Sleep(5 * time.Second)
+			document, err := a.manager.Read(t.Context(), owned.ID())
+			is.NoErr(err)
+			is.Equal(len(document.Tasks), 1)
+			is.Equal(document.Epoch, owned.Epoch())
+		})
+	}
+}
+
+// TestCommitRate guards against more than one write in flight or per interval, and against store
+// calls of an idle entry.
+func TestCommitRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := startNode(t, "a", kvstore.NewMemory(), 1)
+		time.Sleep(5 * time.Second)
+		a.faulty.ResetCounters()
+		time.Sleep(time.Minute)
+		idle := a.faulty.Counters()
+		t.Logf("idle entry, membership and 16 shards, one minute: %+v (%.2f calls/s)", idle, float64(idle.Total())/60)
+		is.Equal(idle.CompareAndSwap, uint64(0))
+		is.True(idle.Total() <= 150) // 1 renewal/s, 0.5 lists/s, audits of 16 shards every 30 s
+
+		owned := a.manager.Owned()[0]
+		a.faulty.SetFaults(kvstore.Faults{DelayMillis: 5})
+		a.faulty.ResetCounters()
+		var group sync.WaitGroup
+		for i := range 500 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+				is.NoErr(owned.Propose(t.Context(), addTask(fmt.Sprint(i))))
+			})
+		}
+		group.Wait()
+		writes := a.faulty.Counters().CompareAndSwap
+		t.Logf("500 proposals in one second on one shard: %d writes", writes)
+		is.True(writes >= 8 && writes <= 12)
+	})
+}
+
+// history is what the clients of a seeded run were told.
+type history struct {
+	mu       sync.Mutex
+	acked    map[string]bool
+	failed   map[string]bool
+	unknowns int
+}
+
+func (h *history) record(id string, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case err == nil:
+		h.acked[id] = true
+	case errors.Is(err, ErrOutcomeUnknown):
+		h.unknowns++
+	default:
+		h.failed[id] = true
+	}
+}
+
+// TestHistories guards the promises of Propose under random faults: an acknowledged proposal is never
+// lost, one that was reported as not applied never appears, epochs only grow, and within an epoch
+// only one entry commits.
+func TestHistories(t *testing.T) {
+	totals := struct{ acked, failed, unknown, epochs int }{}
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			memory := kvstore.NewMemory()
+			nodes := []*node{startNode(t, "a", memory, seed), startNode(t, "b", memory, seed+100), startNode(t, "c", memory, seed+200)}
+			checked := checkVersions(t, memory, seed)
+			time.Sleep(3 * time.Second)
+			told := &history{acked: map[string]bool{}, failed: map[string]bool{}}
+			disturb(t, nodes, memory, told, seed)
+			for _, n := range nodes {
+				n.gate.thaw()
+				n.faulty.SetFaults(kvstore.Faults{})
+			}
+			time.Sleep(40 * time.Second)
+			if owned := ownedBy(nodes...); owned != Count {
+				t.Fatalf("seed %d: %d shards owned at the end", seed, owned)
+			}
+			verify(t, nodes[0].manager, told, seed)
+			totals.acked += len(told.acked)
+			totals.failed += len(told.failed)
+			totals.unknown += told.unknowns
+			totals.epochs += checked()
+		})
+	}
+	t.Logf("acknowledged %d, not applied %d, unknown %d, epochs %d", totals.acked, totals.failed, totals.unknown, totals.epochs)
+}
+
+// disturb runs clients for 60 s while the nodes freeze, restart and lose their store at random.
+func disturb(t *testing.T, nodes []*node, memory store.Store, told *history, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var clients sync.WaitGroup
+	for step := range 600 {
+		time.Sleep(100 * time.Millisecond)
+		if step%10 == 0 {
+			i := random.IntN(len(nodes))
+			nodes[i] = disturbNode(t, nodes[i], memory, random)
+		}
+		for j := range 3 {
+			id := fmt.Sprintf("%d-%d", step, j)
+			shard := nodes[random.IntN(len(nodes))].manager.shards[ForTask(id)]
+			timeout := time.Duration(1+random.IntN(8000)) * time.Millisecond
+			clients.Go(func() {
+				ctx, cancel := context.WithTimeout(context.WithoutCancel(t.Context()), timeout)
+				defer cancel()
+				told.record(id, shard.Propose(ctx, addTask(id)))
+			})
+		}
+	}
+	clients.Wait()
+}
+
+func disturbNode(t *testing.T, n *node, memory store.Store, random *rand.Rand) *node {
+	t.Helper()
+	switch random.IntN(7) {
+	case 0:
+		n.gate.freeze()
+	case 1:
+		n.faulty.SetFaults(kvstore.Faults{Down: true})
+	case 2:
+		n.faulty.SetFaults(kvstore.Faults{LoseAnswerPercent: 50, MissEventPercent: 30, RepeatEventPercent: 30})
+	case 3:
+		n.faulty.SetFaults(kvstore.Faults{LateWrites: 8, LateWriteMillis: random.Int64N(6000)})
+	case 4:
+		n.faulty.SetFaults(kvstore.Faults{DelayMillis: random.Int64N(700), EndWatches: true})
+	case 5:
+		n.stop()
+		return startNode(t, n.member.Self().Name, memory, random.Uint64())
+	default:
+		n.gate.thaw()
+		n.faulty.SetFaults(kvstore.Faults{})
+	}
+	return n
+}
+
+// checkVersions checks each stored version against the one before; the returned function ends the
+// check and returns the sum of the epochs.
+func checkVersions(t *testing.T, memory store.Store, seed uint64) func() int {
+	watcher, err := memory.Watch(t.Context(), "clementine/"+testRegion+"/shards/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	last := map[uint16]*Document{}
+	go func() {
+		defer close(done)
+		for {
+			event, err := watcher.Next(t.Context())
+			if err != nil {
+				return
+			}
+			next, err := wire.Unmarshal[Document](event.Value)
+			if err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+				return
+			}
+			if before, ok := last[next.ID]; ok {
+				checkVersion(t, before, next, seed)
+			}
+			last[next.ID] = next
+		}
+	}()
+	return func() int {
+		watcher.Close()
+		<-done
+		epochs := 0
+		for _, document := range last {
+			epochs += int(document.Epoch)
+		}
+		return epochs
+	}
+}
+
+func checkVersion(t *testing.T, before, next *Document, seed uint64) {
+	t.Helper()
+	if next.Epoch < before.Epoch {
+		t.Errorf("seed %d: shard %d went from epoch %d to %d", seed, next.ID, before.Epoch, next.Epoch)
+	}
+	if next.Epoch == before.Epoch && next.Owner != "" && next.Incarnation != before.Incarnation {
+		t.Errorf("seed %d: shard %d has two owners in epoch %d", seed, next.ID, next.Epoch)
+	}
+	for id := range before.Tasks {
+		if next.Tasks[id] == nil {
+			t.Errorf("seed %d: task %s disappeared", seed, id)
+		}
+	}
+}
+
+func verify(t *testing.T, manager *Manager, told *history, seed uint64) {
+	t.Helper()
+	stored := map[string]bool{}
+	for id := range uint16(Count) {
+		document, err := manager.Read(t.Context(), id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for task := range document.Tasks {
+			stored[task] = true
+		}
+	}
+	for id := range told.acked {
+		if !stored[id] {
+			t.Errorf("seed %d: acknowledged task %s is lost", seed, id)
+		}
+	}
+	for id := range told.failed {
+		if stored[id] {
+			t.Errorf("seed %d: task %s was reported as not applied and is there", seed, id)
+		}
+	}
+}
