Settle claims whose answer was lost and subscribe before the first look

TestOwnershipFollowsEntries left 6 of 16 shards unclaimed when the entry list changed before the manager subscribed. Change: the manager subscribes before its shards look at the entries; a claim without an answer is read back until the shard has moved on.

--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -57,18 +57,19 @@
 // Run claims, releases and commits shards until the context ends; then it commits what waits and
 // releases its shards. The entry's registration must outlive Run.
 func (m *Manager) Run(ctx context.Context) error {
+	// Subscribes before the shards look at the entries, so that no change is missed in between.
+	changes := m.config.Members.Subscribe()
 	var group conc.WaitGroup
 	for _, shard := range m.shards {
 		group.Go(func() { shard.run(ctx) })
 	}
-	group.Go(func() { m.follow(ctx) })
+	group.Go(func() { m.follow(ctx, changes) })
 	group.Wait()
 	return ctx.Err()
 }
 
 // follow wakes every shard when the list of entries changes.
-func (m *Manager) follow(ctx context.Context) {
-	changes := m.config.Members.Subscribe()
+func (m *Manager) follow(ctx context.Context, changes <-chan struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -52,10 +52,17 @@
 }
 
 func (s *Shard) stepUnowned(ctx context.Context) time.Duration {
-	if intendedOwner(s.id, s.manager.config.Members.Entries()) != s.manager.self.Name {
+	if s.claim != nil {
+		s.settleClaim(ctx)
+		if s.isOwned() {
+			return 0
+		}
+		return pollInterval
+	}
+	if !s.intended() {
 		return untilWoken
 	}
-	if s.manager.config.Members.Backed() && s.claim(ctx) {
+	if s.manager.config.Members.Backed() && s.tryClaim(ctx) {
 		return 0
 	}
 	return pollInterval
@@ -113,8 +120,8 @@
 	s.gain(document, revision)
 }
 
-// claim makes one attempt to take the shard over.
-func (s *Shard) claim(ctx context.Context) bool {
+// tryClaim makes one attempt to take the shard over.
+func (s *Shard) tryClaim(ctx context.Context) bool {
 	registrations := s.manager.config.Members.Registrations()
 	document, revision, err := s.manager.read(ctx, s.id)
 	if err != nil {
@@ -122,7 +129,6 @@
 	}
 	s.epochFloor = max(s.epochFloor, document.Epoch)
 	if document.heldBy(s.manager.self) {
-		// An earlier claim whose answer was lost took effect.
 		s.registrations = registrations
 		s.gain(document, revision)
 		return true
@@ -137,6 +143,9 @@
 		return false
 	}
 	written, err := s.manager.write(ctx, s.id, revision, data)
+	if errors.Is(err, store.ErrOutcomeUnknown) {
+		s.claim = &unansweredClaim{expected: revision}
+	}
 	if err != nil {
 		return false
 	}
@@ -145,6 +154,41 @@
 	return true
 }
 
+// unansweredClaim is a claim whose answer was lost.
+type unansweredClaim struct {
+	// expected is the store revision that the claim was written over.
+	expected store.Revision
+}
+
+// settleClaim reads what became of a claim whose answer was lost. The entry looks until the shard has
+// moved on, even if it is no longer the intended owner: a claim that takes effect unnoticed would
+// leave the shard with an owner that neither serves nor releases it.
+func (s *Shard) settleClaim(ctx context.Context) {
+	registrations := s.manager.config.Members.Registrations()
+	document, revision, err := s.manager.read(ctx, s.id)
+	if err != nil {
+		return
+	}
+	s.epochFloor = max(s.epochFloor, document.Epoch)
+	if document.heldBy(s.manager.self) {
+		s.registrations = registrations
+		s.gain(document, revision)
+		return
+	}
+	if revision != s.claim.expected {
+		s.claim = nil
+		return
+	}
+	if s.manager.config.Members.Backed() && s.intended() {
+		s.tryClaim(ctx)
+	}
+}
+
+// intended reports whether this entry is the shard's intended owner.
+func (s *Shard) intended() bool {
+	return intendedOwner(s.id, s.manager.config.Members.Entries()) == s.manager.self.Name
+}
+
 // release hands the shard to its intended owner. What waits is refused as not applied.
 func (s *Shard) release(ctx context.Context) time.Duration {
 	s.lose("released")
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -28,6 +28,8 @@
 	revision store.Revision
 	// pending is the commit whose outcome is not known yet; there is at most one.
 	pending *batch
+	// claim is the claim whose answer was lost, until the store shows what became of it.
+	claim *unansweredClaim
 	// wrote and checked are the times of the last write and of the last proof of ownership.
 	wrote   time.Time
 	checked time.Time
@@ -151,6 +153,7 @@
 	s.document = document
 	s.mu.Unlock()
 	s.revision = revision
+	s.claim = nil
 	s.epochFloor = max(s.epochFloor, document.Epoch)
 	s.checked = time.Now()
 	if gained {
