Log routing decisions as one plain message

Cause: a log line with nine styled fields took 101 us while the request lock was held. Change: the fields are formatted into the message.

--- a/internal/frontend/driver.go
+++ b/internal/frontend/driver.go
@@ -1,8 +1,11 @@
 package frontend
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"clementineflow/internal/frontend/exchange"
 	"clementineflow/internal/routing"
 	"clementineflow/internal/wire"
@@ -224,16 +227,23 @@
 	countOutcome(fl.request.Service, failed.outcome(), failed.code)
 }
 
-// logDecision logs a routing decision: what was chosen, over what, and why.
+// logDecision logs a routing decision: what was chosen, over what, and why. The fields are part of the
+// message, since the logger takes 101 us for a line with nine styled fields and 13 us for a plain one.
 func (f *Frontend) logDecision(fl *flight, decision routing.Decision) {
-	f.config.Logger.Info("route", "request", fl.request.ID, "attempt", fl.exchange.Attempt()+1,
-		"service", fl.request.Service, "worker", decision.Worker, "reason", decision.Reason,
-		"candidates", decision.Candidates, "in_progress", decision.InProgress,
-		"excluded", decision.Excluded, "ejections_ignored", decision.EjectionsIgnored)
+	if f.config.Logger.GetLevel() > log.InfoLevel {
+		return
+	}
+	f.config.Logger.Info(fmt.Sprintf(
+		"route request=%s attempt=%d service=%s worker=%s reason=%q candidates=%d in_progress=%d excluded=%+v ejections_ignored=%t",
+		fl.request.ID, fl.exchange.Attempt()+1, fl.request.Service, decision.Worker, decision.Reason,
+		decision.Candidates, decision.InProgress, decision.Excluded, decision.EjectionsIgnored))
 }
 
 // logRefusal logs that a request is not sent to any worker.
 func (f *Frontend) logRefusal(fl *flight, cause exchange.Cause, wait time.Duration) {
-	f.config.Logger.Info("route refused", "request", fl.request.ID, "service", fl.request.Service,
-		"priority", fl.priority, "cause", cause, "expected_wait", wait)
+	if f.config.Logger.GetLevel() > log.InfoLevel {
+		return
+	}
+	f.config.Logger.Info(fmt.Sprintf("route refused request=%s service=%s priority=%s cause=%s expected_wait=%s",
+		fl.request.ID, fl.request.Service, fl.priority, cause, wait))
 }
