Tighten the tests of units and of explanations

Two guards could be removed without a failing test: the refusal of "0" as a duration without a unit, and the forwarding of ExplainTask by an entry that can read a task it does not own.

Both now have a case of their own; the redundant check for bare numbers is gone.

--- a/internal/operator/fakes_test.go
+++ b/internal/operator/fakes_test.go
@@ -32,6 +32,8 @@
 	submits int
 	records []task.Record
 	watched chan task.Record
+	// decided names the worker in Explain's decision.
+	decided string
 }
 
 func (f *fakeTasks) check() error {
@@ -88,7 +90,7 @@
 }
 
 func (f *fakeTasks) Explain(string) []Decision {
-	return []Decision{{Action: "placed", Worker: "w1", Filtered: []FilterCount{{"zone", 3}}}}
+	return []Decision{{Action: "placed", Worker: f.decided, Filtered: []FilterCount{{"zone", 3}}}}
 }
 
 func (f *fakeTasks) Watch(context.Context, string) (<-chan task.Record, error) {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -184,14 +184,17 @@
 	is.NoErr(err)
 	is.Equal(created.GetId(), "t-p")
 	is.Equal(b.tasks.submits, 1)
-	a.entries.owner = "b"
+	a.entries.owner, a.tasks.owner = "b", "" // a can read the task but has no decisions about it
+	a.tasks.records, b.tasks.decided = b.tasks.records, "w1"
 	explained, err := a.client.ExplainTask(ctx, &operatorv1.GetTaskRequest{Id: "t-p"})
 	is.NoErr(err)
+	is.Equal(explained.GetDecisions()[0].GetWorker(), "w1")
 	is.Equal(explained.GetDecisions()[0].GetFiltered()[0].GetWorkers(), int32(3))
+	a.tasks.owner = "b"
 	_, err = a.client.GetTask(ctx, &operatorv1.GetTaskRequest{Id: "none"})
 	wantCode(t, err, CodeTaskNotFound) // the owner's detail arrives
 
-	b.tasks.owner = "a" // both entries name the other one
+	a.tasks.owner, b.tasks.owner = "b", "a" // both entries name the other one
 	a.tasks.calls, b.tasks.calls = 0, 0
 	_, err = a.client.SubmitTask(ctx, request)
 	wantCode(t, err, CodeNotOwner)
--- a/internal/settings/decode_test.go
+++ b/internal/settings/decode_test.go
@@ -37,6 +37,7 @@
 		{"missing value", "name: w1", "name:", FaultMissing, "name", 2},
 		{"missing key", "zone: z\n", "", FaultMissing, "zone", 1},
 		{"bare duration", "rack: k", "rack: k\nstop_timeout: 30", FaultUnit, "stop_timeout", 6},
+		{"zero without a unit", "rack: k", "rack: k\nstop_timeout: \"0\"", FaultUnit, "stop_timeout", 6},
 		{"wrong duration unit", "rack: k", "rack: k\nstop_timeout: 30 parsecs", FaultUnit, "stop_timeout", 6},
 		{"duration out of range", "rack: k", "rack: k\nstop_timeout: 1ms", FaultValue, "stop_timeout", 6},
 		{"bare size", "rack: k", "rack: k\nworker: {memory: 60}", FaultUnit, "worker.memory", 6},
--- a/internal/settings/scalar.go
+++ b/internal/settings/scalar.go
@@ -147,8 +147,10 @@
 	if !ok {
 		return fallback
 	}
-	parsed, err := time.ParseDuration(scalarSource(value))
-	if err != nil || isBareNumber(value) {
+	source := scalarSource(value)
+	parsed, err := time.ParseDuration(source)
+	// The library accepts "0" without a unit.
+	if err != nil || source == "0" {
 		s.decoder.add(FaultUnit, value, s.key(name), describe(value), allowed)
 		return fallback
 	}
@@ -168,7 +170,7 @@
 		return fallback
 	}
 	parsed, err := ParseSize(scalarSource(value))
-	if err != nil || isBareNumber(value) {
+	if err != nil {
 		s.decoder.add(FaultUnit, value, s.key(name), describe(value), allowed)
 		return fallback
 	}
@@ -179,18 +181,10 @@
 	return parsed
 }
 
+// scalarSource returns the text of a string, and nothing for a bare number, which has no unit.
 func scalarSource(value ast.Node) string {
 	if text, ok := value.(*ast.StringNode); ok {
 		return text.Value
 	}
 	return ""
 }
-
-func isBareNumber(value ast.Node) bool {
-	switch value.(type) {
-	case *ast.IntegerNode, *ast.FloatNode:
-		return true
-	default:
-		return scalarSource(value) == "0"
-	}
-}
