Wire the entry daemon, the agent role and the demo

Cause: the modules were built against interfaces and had not run together. Change: internal/entry joins store, shards, links, requests, controller and operators' server with adapters that translate errors; clementined reads both roles' settings; scripts/demo.sh.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUF       := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
 HANDMADE  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test format check-format lint generate check-generated fuzz-seeds
+.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo
 
 ## build: compiles the programs into bin/
 build:
@@ -37,3 +37,7 @@
 ## fuzz-seeds: runs every fuzz target on its seed corpus
 fuzz-seeds:
 	go test -run '^Fuzz' ./...
+
+## demo: starts a small region on loopback and shows what it does
+demo: build
+	scripts/demo.sh
--- a/cmd/clementined/entry.go
+++ b/cmd/clementined/entry.go
@@ -1,6 +1,18 @@
 package main
 
-import "context"
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/entry"
+	"clementineflow/internal/link"
+	"clementineflow/internal/settings"
+	"clementineflow/internal/store/grpcstore"
+)
 
 // entryCommand runs the entry role.
 type entryCommand struct {
@@ -9,6 +21,44 @@
 
 // Run serves until the context ends, then stops gracefully.
 func (c *entryCommand) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	p, err := newProcess(c.Settings, settings.RoleEntry)
+	if err != nil {
+		return err
+	}
+	storeTLS, err := p.storeTLS()
+	if err != nil {
+		return err
+	}
+	client, err := grpcstore.New(grpcstore.Config{
+		Address: p.settings.Store.Address, TLS: storeTLS, CallTimeout: p.settings.Store.Timeout,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	daemon, err := entry.New(entry.Config{
+		Name: p.settings.Name, Region: p.settings.Region, Zone: p.settings.Zone,
+		Callers: p.settings.Listen.Callers, Operators: p.settings.Listen.Operators,
+		Links: p.settings.Listen.Links, Metrics: p.settings.Listen.Metrics,
+		AdvertisedOperators: p.settings.Advertise.Operators, AdvertisedLinks: p.settings.Advertise.Links,
+		Store: client, Dialer: link.NewDialer(p.clientTLS()), ServerTLS: p.serverTLS(),
+		OperatorDial: p.operatorDial, StopTimeout: p.settings.StopTimeout, Logger: p.logger,
+		Seed: uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, daemon.Run)
+}
+
+// storeTLS returns the TLS configuration for the platform's store, or nil without TLS.
+func (p *process) storeTLS() (*tls.Config, error) {
+	if p.certificates == nil {
+		return nil, nil
+	}
+	host, _, err := net.SplitHostPort(p.settings.Store.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "store address")
+	}
+	return p.certificates.Client(host), nil
 }
--- /dev/null
+++ b/internal/entry/directory.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"clementineflow/internal/membership"
+	"clementineflow/internal/shard"
+	"clementineflow/internal/wire"
+)
+
+// directory implements operator.Entries over the registrations and the shard manager.
+type directory struct {
+	member  *membership.Member
+	manager *shard.Manager
+}
+
+// Entries implements operator.Entries.
+func (d directory) Entries() []wire.EntryAddress { return status{member: d.member}.Entries() }
+
+// TaskOwner implements operator.Entries.
+func (d directory) TaskOwner(taskID string) (string, bool) {
+	return d.manager.Owner(shard.ForTask(taskID))
+}
+
+// Shards implements operator.Entries.
+func (d directory) Shards(entry string) []uint32 {
+	var owned []uint32
+	for id := range uint16(shard.Count) {
+		if owner, ok := d.manager.Owner(id); ok && owner == entry {
+			owned = append(owned, uint32(id))
+		}
+	}
+	return owned
+}
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 
 	"github.com/fasthttp/websocket"
 	"github.com/pkg/errors"
@@ -10,30 +11,32 @@
 
 // SocketDialer opens WebSocket links.
 type SocketDialer struct {
-	dialer websocket.Dialer
-	scheme string
+	tlsFor func(host string) *tls.Config
 }
 
-// NewDialer returns a dialer that uses TLS if config is not nil.
-func NewDialer(config *tls.Config) *SocketDialer {
-	scheme := "ws"
-	if config != nil {
-		scheme = "wss"
-	}
-	return &SocketDialer{
-		scheme: scheme,
-		dialer: websocket.Dialer{
-			TLSClientConfig:  config,
-			HandshakeTimeout: SilenceBound,
-			ReadBufferSize:   bufferBytes,
-			WriteBufferSize:  bufferBytes,
-		},
-	}
+// NewDialer returns a dialer. tlsFor returns the TLS configuration for connections to a host, which
+// is an IP address in most cases; without tlsFor the links are not encrypted.
+func NewDialer(tlsFor func(host string) *tls.Config) *SocketDialer {
+	return &SocketDialer{tlsFor: tlsFor}
 }
 
 // Dial implements Dialer.
 func (d *SocketDialer) Dial(ctx context.Context, address string) (Conn, error) {
-	socket, response, err := d.dialer.DialContext(ctx, d.scheme+"://"+address+Path, nil)
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
+	scheme := "ws"
+	dialer := websocket.Dialer{
+		HandshakeTimeout: SilenceBound,
+		ReadBufferSize:   bufferBytes,
+		WriteBufferSize:  bufferBytes,
+	}
+	if d.tlsFor != nil {
+		scheme = "wss"
+		dialer.TLSClientConfig = d.tlsFor(host)
+	}
+	socket, response, err := dialer.DialContext(ctx, scheme+"://"+address+Path, nil)
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
