Test answer delay, cloning and unanswered claims against their removed guards

Cause: with three guards removed the tests had stayed green (backed measured from the answer, change without a clone, unanswered claim forgotten). Change: the stand-in can delay the answer of a write after its effect; three tests use the case.

--- a/internal/configuration/follower_test.go
+++ b/internal/configuration/follower_test.go
@@ -101,7 +101,15 @@
 		var conflict *ConflictError
 		is.True(errors.Is(err, ErrConflict) && errors.As(err, &conflict))
 		is.Equal(conflict.Current, uint64(2))
-		is.Equal(len(before.Zones), 1) // the shared document is unchanged
+		is.Equal(len(before.Zones), 1)
+		refused := errors.New("refused")
+		fresh := newTestFollower(kvstore.NewFaulty(memory, 3)) // adopts the document that it changes
+		_, err = fresh.Change(t.Context(), "spoil", "", "", func(document *Document) error {
+			document.Zones[0].OutOfService = true
+			return refused
+		})
+		is.Equal(err, refused)
+		is.True(!fresh.Document().Zones[0].OutOfService) // the shared document is unchanged
 
 		faulty.SetFaults(kvstore.Faults{Down: true})
 		_, err = follower.Change(t.Context(), "down", "", "", DeleteService("x"))
--- a/internal/membership/member_test.go
+++ b/internal/membership/member_test.go
@@ -52,7 +52,7 @@
 			for range 6000 {
 				if random.IntN(100) == 0 {
 					faulty.SetFaults(kvstore.Faults{
-						Down: random.IntN(3) == 0, DelayMillis: random.Int64N(490), LoseAnswerPercent: random.IntN(40),
+						Down: random.IntN(3) == 0, AnswerDelayMillis: random.Int64N(490), LoseAnswerPercent: random.IntN(40),
 					})
 				}
 				time.Sleep(10 * time.Millisecond)
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -235,6 +235,28 @@
 	}
 }
 
+// TestUnansweredClaim guards against a claim that takes effect unnoticed after the intended owner has
+// changed, which leaves the shard with an owner that neither serves nor releases it.
+func TestUnansweredClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := kvstore.NewMemory()
+		a, b := startNode(t, "a", memory, 1), startNode(t, "b", memory, 2)
+		time.Sleep(5100 * time.Millisecond)
+		is.True(ownedBy(b) > 0)
+		a.faulty.SetFaults(kvstore.Faults{LateWrites: 1 << 10, LateWriteMillis: 800})
+		b.stop()
+		time.Sleep(50 * time.Millisecond)
+		b = startNode(t, "b", memory, 3)
+		b.faulty.SetFaults(kvstore.Faults{DelayMillis: 200}) // "b" claims after the late claims of "a"
+		time.Sleep(1500 * time.Millisecond)
+		a.faulty.SetFaults(kvstore.Faults{})
+		b.faulty.SetFaults(kvstore.Faults{})
+		time.Sleep(5 * time.Second)
+		is.Equal(ownedBy(a, b), Count)
+	})
+}
+
 // TestCommitRate guards against more than one write in flight or per interval, and against store
 // calls of an idle entry.
 func TestCommitRate(t *testing.T) {
--- a/internal/standin/kvstore/faults.go
+++ b/internal/standin/kvstore/faults.go
@@ -9,6 +9,8 @@
 	// DelayMillis is how long each call waits before it takes effect. A write whose caller gives up
 	// while it waits still takes effect at the end of the delay.
 	DelayMillis int64 `json:"delay_ms"`
+	// AnswerDelayMillis is how long the answer of a write waits after the write took effect.
+	AnswerDelayMillis int64 `json:"answer_delay_ms"`
 	// LoseAnswers is the number of the next writes that take effect and whose answer is lost.
 	LoseAnswers int `json:"lose_answers"`
 	// LoseAnswerPercent is the chance that the answer of a write is lost after it took effect.
@@ -27,6 +29,10 @@
 
 func (f Faults) delay() time.Duration { return time.Duration(f.DelayMillis) * time.Millisecond }
 
+func (f Faults) answerDelay() time.Duration {
+	return time.Duration(f.AnswerDelayMillis) * time.Millisecond
+}
+
 func (f Faults) lateness() time.Duration { return time.Duration(f.LateWriteMillis) * time.Millisecond }
 
 // Counters holds the number of calls per method since the start or the last reset.
--- a/internal/standin/kvstore/faulty.go
+++ b/internal/standin/kvstore/faulty.go
@@ -101,7 +101,7 @@
 		return store.ErrOutcomeUnknown
 	}
 	err := call()
-	if f.takeLostAnswer() {
+	if !sleep(ctx, faults.answerDelay()) || f.takeLostAnswer() {
 		return store.ErrOutcomeUnknown
 	}
 	return err
