Close gaps that the removal of guards showed

Cause: with the limit on ejections, the silence or slot check of routing, or the look at the caller's connection removed, all tests stayed green. Change: direct tests of each; the test of a gone caller no longer passes by the deadline's Cancel. Conclusion: the tests hold these rules.

--- a/internal/frontend/http_test.go
+++ b/internal/frontend/http_test.go
@@ -363,6 +363,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.listen(t)+checkPath, nil)
 	is.NoErr(err)
+	request.Header.Set("Clementine-Timeout", "1m") // the deadline cancels too
 	go func() {
 		<-started
 		cancel()
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -235,3 +235,60 @@
 		})
 	}
 }
+
+// eject fails a worker until it would be ejected and reports whether it was.
+func eject(router *Router, worker string) bool {
+	ejected := false
+	for range failuresToEject {
+		_, more := router.Finished(start, serviceName, worker, ResultFailed, 0)
+		ejected = ejected || more
+	}
+	return ejected
+}
+
+// TestEjectionLimits guards against ejections of more than half of the workers, of more than the rest
+// can carry, and against ejections that stay in force when healthy workers go away.
+func TestEjectionLimits(t *testing.T) {
+	is := is.New(t)
+	router := New("z0", 1)
+	workers := fleetOf(4, "z0")
+	router.Update(workers, allZones)
+	is.True(eject(router, "w000"))
+	is.True(eject(router, "w001"))
+	is.True(!eject(router, "w002"))
+	is.Equal(router.Pick(start, serviceName, nil).Excluded.Ejected, 2)
+	workers[3].Leaving = true
+	router.Update(workers, allZones)
+	decision := router.Pick(start, serviceName, nil)
+	is.True(decision.EjectionsIgnored)
+	is.Equal(decision.Candidates, 3)
+
+	router = New("z0", 1)
+	workers = fleetOf(4, "z0")
+	router.Update(workers, allZones)
+	for _, worker := range []string{"w001", "w002", "w003"} {
+		for range 7 { // 21 in progress; without w000 there are 24 slots, which may carry 19
+			router.Started(serviceName, worker)
+		}
+	}
+	is.True(!eject(router, "w000"))
+}
+
+// TestSilentAndFull guards against a request to a worker whose heartbeats have stopped or that has no
+// free slot.
+func TestSilentAndFull(t *testing.T) {
+	is := is.New(t)
+	router := New("z0", 1)
+	workers := fleetOf(3, "z0")
+	workers[0].HeardAt = start.Add(-SilentAfter - 1)
+	workers[1].Targets[0].SlotsUsed = 8
+	router.Update(workers, allZones)
+	for range 8 {
+		decision := router.Pick(start, serviceName, nil)
+		is.Equal(decision.Worker, "w002")
+		is.Equal(decision.Excluded, Exclusions{Silent: 1, Full: 1})
+		router.Started(serviceName, "w002")
+	}
+	is.Equal(router.Pick(start, serviceName, nil).Reason, ReasonNoCandidate)
+	is.Equal(router.Pick(start, serviceName, []string{"w000"}).Excluded, Exclusions{Silent: 1, Full: 2})
+}
