--- /dev/null
+++ b/internal/settings/reference_test.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"errors"
+	"maps"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestReference guards against a key that docs/operations.md lacks, or documents although it does not
+// exist. The known keys are taken from the faults of an unknown key in each section.
+func TestReference(t *testing.T) {
+	is := is.New(t)
+	known := map[string]bool{}
+	for _, role := range []string{"entry", "agent"} {
+		text := "role: " + role + "\nzzz: 1\n"
+		sections := []string{"listen", "advertise", "store", "runtime", "worker", "log", "tls"}
+		for _, name := range sections {
+			text += name + ": {zzz: 1}\n"
+		}
+		_, err := Decode("f", []byte(text))
+		var faults Faults
+		is.True(errors.As(err, &faults))
+		for _, fault := range faults {
+			prefix, ok := strings.CutSuffix(fault.Key, "zzz")
+			if fault.Kind != FaultUnknownKey || !ok {
+				continue
+			}
+			for _, key := range strings.Split(fault.Allowed, ", ") {
+				if prefix != "" || !slices.Contains(sections, key) {
+					known[prefix+key] = true
+				}
+			}
+		}
+	}
+	page, err := os.ReadFile("../../docs/operations.md")
+	is.NoErr(err)
+	documented := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\| (?:both|entry|agent) \\|").FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = true
+	}
+	is.Equal(slices.Sorted(maps.Keys(documented)), slices.Sorted(maps.Keys(known)))
+}
