agent: fix two findings of the linter

Cause: make lint reported a struct literal and an unnecessary conversion.

Change: convert the event in the test, drop the conversion in the runtime duty.

--- a/internal/agent/core_test.go
+++ b/internal/agent/core_test.go
@@ -114,7 +114,7 @@
 		case closeLink:
 			if _, open := m.links[next.link]; open {
 				delete(m.links, next.link)
-				m.handle(linkClosed{link: next.link})
+				m.handle(linkClosed(next))
 			}
 		case attachRuntime, renewLease, listTasks:
 			m.controls = append(m.controls, next)
--- a/internal/agent/runtime_duty.go
+++ b/internal/agent/runtime_duty.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	beganAt := time.Now()
 	remaining := next.until.Sub(beganAt)
-	err := error(runtime.ErrUnavailable)
+	err := runtime.ErrUnavailable
 	if remaining > 0 {
 		err = d.runtime.Renew(bounded, next.session, remaining)
 	}
