--- a/internal/agent/core_unit_test.go
+++ b/internal/agent/core_unit_test.go
@@ -286,3 +286,12 @@
 		}
 	})
 }
+
+// TestStaleSession guards against a delayed start of an earlier session: its attempt may have moved.
+func TestStaleSession(t *testing.T) {
+	b := newBench(t)
+	order := wire.Order{TaskID: "a", Attempt: 1, Epoch: 1, Session: task.Session{BootID: "boot"}}
+	actions := b.message(&wire.StartTask{Order: order, Size: resource.Quantity{MilliCPU: 1}})
+	b.is.Equal(len(find[callRuntime](actions)), 0)
+	b.is.Equal(sentOf[*wire.TaskEvent](actions)[0].Refusal, wire.RefusalStaleSession)
+}
