ledger: test that a running request outlives the fence of its refusal

Cause: with the removal from the fence heap taken out, all tests stayed green.

Change: a test runs a refused request with a higher attempt past its fence.

Measured: red without the removal, green with it under -race.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -175,3 +175,14 @@
 		})
 	})
 }
+
+// TestRunningOutlivesFence guards against a request that was refused, runs with a higher attempt, and is
+// forgotten at the fence of its refusal while it is still running.
+func TestRunningOutlivesFence(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	is.True(l.Refuse(start, "r", 1, wire.NotRunBusy, after(time.Second)))
+	is.True(l.Begin(start, "r", 2, after(time.Second)))
+	decision, _ := l.Lookup(after(time.Minute), "r", 2)
+	is.Equal(decision, Attach)
+}
