Put the worker limits of the settings in force; serve metrics by fasthttp

Cause: worker.* of the agent's settings was parsed and had no effect, so an operator's lower limit was ignored; the metrics server used net/http where the project's HTTP library is fasthttp; some packages used the standard errors package beside pkg/errors. Conclusion: a settings key without effect is gone.

--- a/cmd/clementinectl/exit.go
+++ b/cmd/clementinectl/exit.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 
 	"google.golang.org/grpc/codes"
@@ -9,6 +8,8 @@
 
 	"clementineflow/internal/operator"
 	"clementineflow/internal/settings"
+
+	"github.com/pkg/errors"
 )
 
 // Exit codes.
--- a/cmd/clementinectl/follow.go
+++ b/cmd/clementinectl/follow.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 
 	"google.golang.org/protobuf/proto"
 
 	operatorv1 "clementineflow/api/operator/v1"
+
+	"github.com/pkg/errors"
 )
 
 func isFinal(state operatorv1.TaskState) bool {
--- a/cmd/clementinectl/run.go
+++ b/cmd/clementinectl/run.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/pkg/errors"
 )
 
 const description = `Operates a clementineflow region through any of its entries.
--- a/cmd/clementinectl/wait.go
+++ b/cmd/clementinectl/wait.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -11,6 +10,8 @@
 	"google.golang.org/grpc/status"
 
 	operatorv1 "clementineflow/api/operator/v1"
+
+	"github.com/pkg/errors"
 )
 
 // pollInterval is the time between two reads while waiting; a revision is in force within seconds.
--- a/cmd/clementined/agent.go
+++ b/cmd/clementined/agent.go
@@ -7,6 +7,7 @@
 
 	"clementineflow/internal/agent"
 	"clementineflow/internal/link"
+	"clementineflow/internal/resource"
 	"clementineflow/internal/runtime/httpruntime"
 	"clementineflow/internal/settings"
 	"clementineflow/internal/telemetry"
@@ -25,7 +26,7 @@
 	}
 	daemon, err := agent.New(agent.Config{
 		Name: p.settings.Name, Region: p.settings.Region, Zone: p.settings.Zone, Rack: p.settings.Rack,
-		Entries: p.settings.Entries, TargetListen: p.settings.Listen.Targets,
+		Entries: p.settings.Entries, Limits: agentLimits(p.settings.Worker), TargetListen: p.settings.Listen.Targets,
 		Dialer: link.NewDialer(p.clientTLS()), Runtime: httpruntime.New(p.settings.Runtime), Logger: p.logger,
 	})
 	if err != nil {
@@ -57,3 +58,13 @@
 	})
 	return duties.Wait()
 }
+
+// agentLimits returns the limits of the settings.
+func agentLimits(worker settings.Worker) agent.Limits {
+	return agent.Limits{
+		Size: resource.Quantity{
+			MilliCPU: worker.MilliCPU, MemoryBytes: worker.MemoryBytes, Accelerators: worker.Accelerators,
+		},
+		Slots: worker.Slots, Connections: worker.Connections,
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,6 +53,7 @@
 			zone:        config.Zone,
 			rack:        config.Rack,
 			incarnation: uuid.NewString(),
+			limits:      config.Limits,
 		}),
 		inputs:    make(chan input, eventQueueLength),
 		conns:     map[linkID]link.Conn{},
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -24,9 +24,11 @@
 	// TargetListen is the loopback IP address and port of the HTTP server for target announcements;
 	// empty for none.
 	TargetListen string
-	Dialer       link.Dialer
-	Runtime      runtime.Runtime
-	Logger       *log.Logger
+	// Limits bounds what is admitted; the zero value sets no bound.
+	Limits  Limits
+	Dialer  link.Dialer
+	Runtime runtime.Runtime
+	Logger  *log.Logger
 }
 
 // validate returns ErrConfig if the configuration cannot be used.
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -55,9 +55,10 @@
 	maxTombstones = 32 << 10
 )
 
-// identity names the agent and its place.
+// identity names the agent, its place and its limits.
 type identity struct {
 	name, region, zone, rack, incarnation string
+	limits                                Limits
 }
 
 // core is the deterministic part of the agent: events and times in, actions out. It has no clock and
--- a/internal/agent/core_runtime.go
+++ b/internal/agent/core_runtime.go
@@ -121,7 +121,7 @@
 	c.attached = true
 	c.renewing, c.listing = false, false
 	clear(c.pending)
-	c.table.SetCapacity(attachment.Capacity)
+	c.table.SetCapacity(c.identity.limits.capacity(attachment.Capacity))
 	c.report(log.InfoLevel, "", "attached to the worker runtime", field{"boot", c.session.BootID},
 		field{"session", strconv.FormatUint(c.session.Number, 10)},
 		field{"tasks", strconv.Itoa(len(attachment.Tasks))})
--- a/internal/agent/core_target.go
+++ b/internal/agent/core_target.go
@@ -35,6 +35,8 @@
 		c.report(log.WarnLevel, "", "ignored a target above the limit", field{"service", key.Service}, field{"address", key.Address})
 		return
 	}
+	announcement.Slots = bounded(announcement.Slots, c.identity.limits.Slots)
+	announcement.Connections = bounded(announcement.Connections, c.identity.limits.Connections)
 	if err := c.table.SetTarget(key, announcement.Slots, announcement.Connections); err != nil {
 		return
 	}
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -10,6 +9,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	operatorv1 "clementineflow/api/operator/v1"
+
+	"github.com/pkg/errors"
 )
 
 // Times after which a retry may succeed.
--- a/internal/operator/forward.go
+++ b/internal/operator/forward.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	operatorv1 "clementineflow/api/operator/v1"
+
+	"github.com/pkg/errors"
 )
 
 // ForwardedMetadata marks a call that another entry forwarded; it is not forwarded again.
--- a/internal/operator/server_watch.go
+++ b/internal/operator/server_watch.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 
 	"google.golang.org/grpc"
 
 	operatorv1 "clementineflow/api/operator/v1"
+
+	"github.com/pkg/errors"
 )
 
 // WatchTask sends the task and each later change, and ends after a final state.
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -1,12 +1,13 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+
+	"github.com/pkg/errors"
 )
 
 // MaxFileBytes is the largest file that is read; a region's document is at most 1 MB in the store.
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -3,22 +3,22 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // Limits of the HTTP server for metrics and health.
 const (
-	readHeaderTimeout = 2 * time.Second
-	writeTimeout      = 10 * time.Second
-	idleTimeout       = 60 * time.Second
-	shutdownTimeout   = 2 * time.Second
-	maxHeaderBytes    = 8 << 10
+	readTimeout     = 2 * time.Second
+	writeTimeout    = 10 * time.Second
+	idleTimeout     = 60 * time.Second
+	shutdownTimeout = 2 * time.Second
+	headerBytes     = 8 << 10
+	maxBodyBytes    = 1 << 10
 )
 
 // ServerConfig holds what a Server depends on.
@@ -33,7 +33,8 @@
 // Server serves /metrics, /livez and /readyz over HTTP.
 type Server struct {
 	listener net.Listener
-	http     *http.Server
+	ready    func() error
+	http     *fasthttp.Server
 }
 
 // NewServer returns a server that owns the listener.
@@ -42,13 +43,19 @@
 	if config.TLS != nil {
 		listener = tls.NewListener(listener, config.TLS)
 	}
-	return &Server{listener: listener, http: &http.Server{
-		Handler:           handler(config.Ready),
-		ReadHeaderTimeout: readHeaderTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}}
+	s := &Server{listener: listener, ready: config.Ready}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
+		IdleTimeout:           idleTimeout,
+		ReadBufferSize:        headerBytes,
+		MaxRequestBodySize:    maxBodyBytes,
+		NoDefaultServerHeader: true,
+		// Without it, Shutdown waits until idle connections time out.
+		CloseOnShutdown: true,
+	}
+	return s
 }
 
 // Run serves until the context ends, then finishes requests in progress.
@@ -62,32 +69,35 @@
 	}
 	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
-	if err := s.http.Shutdown(shutdown); err != nil {
-		_ = s.http.Close()
-	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "stop serving metrics and health")
-	}
+	// Connections that are open after the timeout end with the process.
+	_ = s.http.ShutdownWithContext(shutdown)
 	return ctx.Err()
 }
 
-func handler(ready func() error) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", serveMetrics)
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "ok\n")
-	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = io.WriteString(w, "ok\n")
-	})
-	return mux
+// handle serves one request.
+func (s *Server) handle(request *fasthttp.RequestCtx) {
+	if !request.IsGet() && !request.IsHead() {
+		request.Error("method not allowed", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	switch string(request.Path()) {
+	case "/metrics":
+		request.SetContentType("text/plain; charset=utf-8")
+		metrics.WritePrometheus(request, true)
+	case "/livez":
+		request.SetBodyString("ok\n")
+	case "/readyz":
+		s.handleReady(request)
+	default:
+		request.Error("not found", fasthttp.StatusNotFound)
+	}
 }
 
-func serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	metrics.WritePrometheus(w, true)
+// handleReady answers with the reason if the process is not ready.
+func (s *Server) handleReady(request *fasthttp.RequestCtx) {
+	if err := s.ready(); err != nil {
+		request.Error(err.Error()+"\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	request.SetBodyString("ok\n")
 }
