Give each entry an even share of the shards

Cause: clementinectl entries showed 3 shards at one entry and 13 at the other: rendezvous hashing of 16 keys over two names is uneven, so one entry carries most commits and plans. Ruled out: another hash function; with 16 keys any hash gives such splits often. Change: rendezvous hashing with each entry bounded by ceil(16/n). Measured: TestIntendedOwnerBalance fails with the plain hashing and passes now; go test -race on the package passes, the seeded ownership histories included (34 s on the shared machine). Conclusion: two entries own 8 shards each; a change of the entries moves a few more shards.

--- a/internal/shard/ownership.go
+++ b/internal/shard/ownership.go
@@ -10,15 +10,36 @@
 	"clementineflow/internal/membership"
 )
 
-// intendedOwner returns the registered entry with the highest rendezvous hash for the shard, or "".
+// intendedOwner returns the registered entry that should own the shard, or "" without entries.
+//
+// Each shard goes to the entry with the highest rendezvous hash that does not have its even share
+// yet. Plain rendezvous hashing of 16 shards gave two entries 3 and 13 shards.
 func intendedOwner(id uint16, entries []membership.Entry) string {
 	names := make([]string, 0, len(entries))
 	for _, entry := range entries {
 		names = append(names, entry.Name)
 	}
-	return rendezvous.New(names, xxhash.Sum64String).Lookup("shard-" + strconv.Itoa(int(id)))
+	if len(names) == 0 {
+		return ""
+	}
+	share := (Count + len(names) - 1) / len(names)
+	owned := make(map[string]int, len(names))
+	owner := ""
+	for shard := range id + 1 {
+		// The library's Remove panics, so the candidates are set anew when one has its share.
+		candidates := rendezvous.New(names, xxhash.Sum64String)
+		owner = candidates.Lookup(hashKey(shard))
+		owned[owner]++
+		if owned[owner] == share {
+			names = slices.DeleteFunc(names, func(name string) bool { return name == owner })
+		}
+	}
+	return owner
 }
 
+// hashKey is the key of a shard in rendezvous hashing.
+func hashKey(id uint16) string { return "shard-" + strconv.Itoa(int(id)) }
+
 // mayClaim reports whether the shard was released or the registration of its owner is gone. An owner
 // of the same name and another incarnation is gone: a name is registered again only after the lease
 // of its former incarnation has ended.
