lease: count an entry for the outage rule only after its own store read

An entry that accepts a change, crashes before it forwards the change and restarts during the outage relearns the old revision from its peers. It then acknowledged 'store not reachable' at the old revision, and all n entries agreed on a revision that was replaced, so an agent could start a task in a zone that had been taken out of service.

Ruled out: comparing incarnations at the agent, since the agent may have restarted as well and knows no earlier incarnation.

Change: an acknowledgement counts for rule (ii) only if its confirmation age is not negative, that is, if the entry has read the store since it started. The model of the agent's core states the same rule.

Before: TestPermitOutage/restarted fails without the change. After: it passes, and so do the tests of lease and agent.

Conclusion: after a restart during an outage an agent waits for the store before it starts tasks.

--- a/internal/agent/core_test.go
+++ b/internal/agent/core_test.go
@@ -173,7 +173,7 @@
 	}
 	for _, entry := range modelEntries {
 		ack, ok := m.outages[entry]
-		if !ok || ack.StoreReachable || ack.Revision != held || m.now.Sub(ack.SentAt) > lease.PermitTerm {
+		if !ok || ack.StoreReachable || ack.ConfirmationAge < 0 || ack.Revision != held || m.now.Sub(ack.SentAt) > lease.PermitTerm {
 			return false
 		}
 	}
@@ -489,7 +489,10 @@
 		m.confirmed[ack.Revision] = at
 	}
 	if last, known := m.outages[entry]; !known || sentAt.After(last.SentAt) {
-		m.outages[entry] = lease.PermitAck{SentAt: sentAt, Revision: ack.Revision, StoreReachable: ack.StoreReachable}
+		m.outages[entry] = lease.PermitAck{
+			SentAt: sentAt, Revision: ack.Revision, StoreReachable: ack.StoreReachable,
+			ConfirmationAge: time.Duration(ack.ConfirmationAgeMillis) * time.Millisecond,
+		}
 	}
 	m.handle(received{link: id, message: ack})
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -101,13 +101,15 @@
 }
 
 // TestPermitOutage guards against starts during a store outage while an entry is missing, has the
-// store, is behind or answered too long ago.
+// store, is behind, answered too long ago, or has not read the store since it started: it may have
+// accepted a change before and have relearned the old revision from its peers.
 func TestPermitOutage(t *testing.T) {
-	outage := PermitAck{SentAt: at(0), Revision: 4, ConfirmationAge: -1}
-	reachable, behind, late := outage, outage, outage
+	outage := PermitAck{SentAt: at(0), Revision: 4, ConfirmationAge: time.Hour}
+	reachable, behind, late, restarted := outage, outage, outage, outage
 	reachable.StoreReachable = true
 	behind.Revision = 3
 	late.SentAt = at(-time.Second)
+	restarted.ConfirmationAge = -1
 	cases := []struct {
 		name string
 		ack  *PermitAck
@@ -118,6 +120,7 @@
 		{"reachable", &reachable, false},
 		{"behind", &behind, false},
 		{"late", &late, false},
+		{"restarted", &restarted, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/lease/permit.go
+++ b/internal/lease/permit.go
@@ -73,12 +73,13 @@
 }
 
 // outageAgreed reports whether every configured entry has lately said that the store is not reachable
-// and that it knows no revision above the held one. An entry with a lower revision may have restarted
-// since it accepted a change, so it does not count.
+// and that it knows no revision above the held one. An entry that has not read the store since it
+// started may have accepted a change before and knows only what its peers have told it, so it does not
+// count, and neither does one with a lower revision.
 func (p *StartPermit) outageAgreed(now time.Time) bool {
 	for _, name := range p.entries {
 		ack, ok := p.acks[name]
-		if !ok || ack.StoreReachable || ack.Revision != p.held || !p.fresh(ack.SentAt, now) {
+		if !ok || ack.StoreReachable || ack.ConfirmationAge < 0 || ack.Revision != p.held || !p.fresh(ack.SentAt, now) {
 			return false
 		}
 	}
