runtime: refuse a start or renewal that arrives after its bound

A start carries the lease as a duration from its arrival. An agent that was frozen between computing the lease and sending the call could so start a task after its worker lease had ended and after entries had denied the worker; a renewal could keep a task running in the same way.

Ruled out: checking the time in the agent alone, since it can be frozen after any check; the caller's context, since its timer fires only after the agent resumes.

Change: StartRequest and Renew carry an absolute NotAfter on the VM's clock. The runtime refuses later calls with ErrTooLate (code too_late), which the agent treats as certainly without effect. A start may arrive 1 s after its sending and never after the worker lease: 3 s permit + 0.5 s + 1 s < 5 s.

Conclusion: a delay between the agent's check and the runtime cannot start or extend a task beyond the lease rules.

--- a/internal/agent/core_runtime.go
+++ b/internal/agent/core_runtime.go
@@ -18,7 +18,7 @@
 // isCertain reports whether a failed runtime call certainly had no effect and will have none.
 func isCertain(err error) bool {
 	return errors.Is(err, runtime.ErrUnavailable) || errors.Is(err, runtime.ErrConflict) ||
-		errors.Is(err, runtime.ErrNotFound)
+		errors.Is(err, runtime.ErrNotFound) || errors.Is(err, runtime.ErrTooLate)
 }
 
 // checkLease acts on the beginning and the end of the worker lease. When it ends, all tasks are
--- a/internal/agent/runtime_duty.go
+++ b/internal/agent/runtime_duty.go
@@ -16,6 +16,10 @@
 	// running until an entry denies the worker.
 	renewTimeout = time.Second
 	listTimeout  = 3 * time.Second
+	// startArrivalWindow is how long after its sending a start may reach the runtime. With PermitTerm
+	// and startCallWindow it stays below the 5 s in which a zone goes out of service, and it is below
+	// lease.Margin like renewTimeout.
+	startArrivalWindow = time.Second
 	// callTimeout bounds the other calls; a checkpoint can take seconds.
 	callTimeout = 10 * time.Second
 )
@@ -47,7 +51,7 @@
 	remaining := next.until.Sub(beganAt)
 	err := runtime.ErrUnavailable
 	if remaining > 0 {
-		err = d.runtime.Renew(bounded, next.session, remaining)
+		err = d.runtime.Renew(bounded, next.session, remaining, earlier(beganAt.Add(renewTimeout), next.until))
 	}
 	d.report(ctx, renewResult{beganAt: beganAt, session: next.session, err: err})
 }
@@ -93,5 +97,15 @@
 	if now.After(next.notAfter) || request.Lease <= 0 {
 		return errors.Wrap(runtime.ErrUnavailable, "the start waited too long in the agent")
 	}
+	// The agent may be frozen from here on, so the runtime checks the bound as well.
+	request.NotAfter = earlier(now.Add(startArrivalWindow), next.leaseUntil)
 	return d.runtime.Start(ctx, request)
 }
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/runtime/httpruntime/client.go
+++ b/internal/runtime/httpruntime/client.go
@@ -85,8 +85,8 @@
 }
 
 // Renew implements runtime.Runtime.
-func (c *Client) Renew(ctx context.Context, session task.Session, lease time.Duration) error {
-	_, err := call[EmptyResponse](ctx, c, CallRenew, RenewRequest{Session: session, Lease: lease})
+func (c *Client) Renew(ctx context.Context, session task.Session, lease time.Duration, notAfter time.Time) error {
+	_, err := call[EmptyResponse](ctx, c, CallRenew, RenewRequest{Session: session, Lease: lease, NotAfter: notAfter})
 	return err
 }
 
@@ -185,6 +185,8 @@
 		return errors.Wrap(runtime.ErrNotFound, decoded.Message)
 	case CodeConflict:
 		return errors.Wrap(runtime.ErrConflict, decoded.Message)
+	case CodeTooLate:
+		return errors.Wrap(runtime.ErrTooLate, decoded.Message)
 	case CodeUnavailable:
 		return errors.Wrap(runtime.ErrUnavailable, decoded.Message)
 	default:
--- a/internal/runtime/httpruntime/client_test.go
+++ b/internal/runtime/httpruntime/client_test.go
@@ -24,6 +24,7 @@
 		{`{"code":"stale_session"}`, runtime.ErrStaleSession},
 		{`{"code":"not_found"}`, runtime.ErrNotFound},
 		{`{"code":"conflict"}`, runtime.ErrConflict},
+		{`{"code":"too_late"}`, runtime.ErrTooLate},
 		{`{"code":"unavailable"}`, runtime.ErrUnavailable},
 		{`{"code":"new"}`, runtime.ErrOutcomeUnknown},
 		{`<html>`, runtime.ErrOutcomeUnknown},
--- a/internal/runtime/httpruntime/protocol.go
+++ b/internal/runtime/httpruntime/protocol.go
@@ -27,6 +27,7 @@
 	CodeStaleSession = "stale_session"
 	CodeNotFound     = "not_found"
 	CodeConflict     = "conflict"
+	CodeTooLate      = "too_late"
 	CodeUnavailable  = "unavailable"
 )
 
@@ -37,8 +38,9 @@
 
 // RenewRequest is the body of renew; Lease is in nanoseconds.
 type RenewRequest struct {
-	Session task.Session  `json:"session"`
-	Lease   time.Duration `json:"lease"`
+	Session  task.Session  `json:"session"`
+	Lease    time.Duration `json:"lease"`
+	NotAfter time.Time     `json:"not_after"`
 }
 
 // AttemptRequest is the body of evict, stop and forget.
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -15,6 +15,8 @@
 var (
 	// ErrStaleSession reports a call of a session that a later Attach has replaced.
 	ErrStaleSession = errors.New("runtime: session was replaced")
+	// ErrTooLate reports a call that arrived after its NotAfter; it certainly had no effect.
+	ErrTooLate = errors.New("runtime: the call arrived too late")
 	// ErrUnavailable reports a call that certainly had no effect.
 	ErrUnavailable = errors.New("runtime: unavailable")
 	// ErrOutcomeUnknown reports a call that may or may not have taken effect.
@@ -77,6 +79,10 @@
 	Checkpoint string            `json:"checkpoint,omitempty"`
 	// Lease is how long the task may run without a renewal.
 	Lease time.Duration `json:"lease"`
+	// NotAfter is the wall-clock time after which the runtime refuses the start with ErrTooLate. Agent
+	// and runtime share the clock of the VM. It bounds a call that its sender is frozen on, since Lease
+	// counts from the arrival of the call.
+	NotAfter time.Time `json:"not_after"`
 }
 
 // Runtime is the worker runtime of one worker. Implementations are safe for concurrent use.
@@ -86,8 +92,9 @@
 	Attach(ctx context.Context) (Attachment, error)
 	// Start starts a task attempt. Repeating it for a running attempt has no further effect.
 	Start(ctx context.Context, request StartRequest) error
-	// Renew extends the lease of every running task to the given duration from now.
-	Renew(ctx context.Context, session task.Session, lease time.Duration) error
+	// Renew extends the lease of every running task to the given duration from now. It fails with
+	// ErrTooLate if the call arrives after notAfter.
+	Renew(ctx context.Context, session task.Session, lease time.Duration, notAfter time.Time) error
 	// Evict checkpoints and stops a task attempt and returns the reference to the checkpoint.
 	Evict(ctx context.Context, session task.Session, taskID string, attempt uint32) (string, error)
 	// Stop stops a task attempt without a checkpoint.
--- a/internal/standin/worker/runtime.go
+++ b/internal/standin/worker/runtime.go
@@ -207,6 +207,9 @@
 	if err != nil {
 		return err
 	}
+	if tooLate(now, request.NotAfter) {
+		return errors.WithStack(runtime.ErrTooLate)
+	}
 	key := attemptKey{taskID: request.TaskID, attempt: request.Attempt}
 	if known, ok := r.tasks[key]; ok {
 		if known.phase == runtime.PhaseRunning {
@@ -222,6 +225,9 @@
 	return r.answer()
 }
 
+// tooLate reports whether a call arrived after its bound; a zero bound stands for none.
+func tooLate(now, notAfter time.Time) bool { return !notAfter.IsZero() && now.After(notAfter) }
+
 // startTask records the start of an attempt.
 func (r *Runtime) startTask(key attemptKey, t *runningTask, now time.Time) {
 	if len(r.executions) >= maxExecutions {
@@ -265,12 +271,15 @@
 }
 
 // Renew implements runtime.Runtime.
-func (r *Runtime) Renew(_ context.Context, session task.Session, lease time.Duration) error {
+func (r *Runtime) Renew(_ context.Context, session task.Session, lease time.Duration, notAfter time.Time) error {
 	now, err := r.enter(session)
 	defer r.mutex.Unlock()
 	if err != nil {
 		return err
 	}
+	if tooLate(now, notAfter) {
+		return errors.WithStack(runtime.ErrTooLate)
+	}
 	for _, t := range r.tasks {
 		if t.phase == runtime.PhaseRunning {
 			t.leaseUntil = now.Add(lease)
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -30,7 +30,7 @@
 		})
 	case httpruntime.CallRenew:
 		serve(request, func(ctx context.Context, q httpruntime.RenewRequest) (httpruntime.EmptyResponse, error) {
-			return httpruntime.EmptyResponse{}, r.Renew(ctx, q.Session, q.Lease)
+			return httpruntime.EmptyResponse{}, r.Renew(ctx, q.Session, q.Lease, q.NotAfter)
 		})
 	case httpruntime.CallList:
 		serve(request, func(ctx context.Context, q httpruntime.SessionRequest) (httpruntime.ListResponse, error) {
@@ -95,6 +95,8 @@
 		return httpruntime.CodeStaleSession
 	case errors.Is(err, runtime.ErrNotFound):
 		return httpruntime.CodeNotFound
+	case errors.Is(err, runtime.ErrTooLate):
+		return httpruntime.CodeTooLate
 	case errors.Is(err, runtime.ErrConflict):
 		return httpruntime.CodeConflict
 	default:
