--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,9 +36,8 @@
 
 // New returns an entry that serves nothing before Run.
 func New(config Config) (*Entry, error) {
-	e := &Entry{config: config}
-	e.buildState()
-	if err := e.buildFleet(); err != nil {
+	e, err := newControl(config)
+	if err != nil {
 		return nil, errors.Wrap(err, "entry")
 	}
 	if err := e.buildOperator(); err != nil {
@@ -48,6 +47,13 @@
 	return e, nil
 }
 
+// newControl builds the parts of an entry that need no network listener.
+func newControl(config Config) (*Entry, error) {
+	e := &Entry{config: config}
+	e.buildState()
+	return e, e.buildFleet()
+}
+
 // buildState creates what keeps the durable state.
 func (e *Entry) buildState() {
 	c := &e.config
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -75,9 +75,7 @@
 // startLower starts the links, the configuration, the registration and the metrics.
 func (e *Entry) startLower(ctx context.Context, fail func(), open *listeners) *pool.ContextPool {
 	duties := pool.New().WithContext(ctx)
-	start(duties, fail, e.follower.Run)
-	start(duties, fail, e.member.Run)
-	start(duties, fail, e.hub.Run)
+	e.startState(duties, fail)
 	start(duties, fail, func(ctx context.Context) error {
 		return serveUntilDone(ctx, func() error { return e.links.Serve(open.links, e.config.serverTLS()) }, e.links.Shutdown)
 	})
@@ -93,9 +91,7 @@
 // startMiddle starts the shards, the controller and the operators' server.
 func (e *Entry) startMiddle(ctx context.Context, fail func(), open *listeners) *pool.ContextPool {
 	duties := pool.New().WithContext(ctx)
-	start(duties, fail, e.manager.Run)
-	start(duties, fail, e.controller.Run)
-	start(duties, fail, e.frontend.Run)
+	e.startControl(duties, fail)
 	start(duties, fail, func(ctx context.Context) error { return e.operator.Serve(ctx, open.operators) })
 	return duties
 }
@@ -129,6 +125,20 @@
 	}
 }
 
+// startState starts the duties that follow the store and keep the links.
+func (e *Entry) startState(duties *pool.ContextPool, fail func()) {
+	start(duties, fail, e.follower.Run)
+	start(duties, fail, e.member.Run)
+	start(duties, fail, e.hub.Run)
+}
+
+// startControl starts the duties that drive tasks and requests.
+func (e *Entry) startControl(duties *pool.ContextPool, fail func()) {
+	start(duties, fail, e.manager.Run)
+	start(duties, fail, e.controller.Run)
+	start(duties, fail, e.frontend.Run)
+}
+
 // start runs a duty; its failure before the end of the context stops the entry.
 func start(duties *pool.ContextPool, fail func(), duty func(context.Context) error) {
 	duties.Go(func(ctx context.Context) error {
