link: wait for the writer before an accepted connection is released

Cause: fasthttp takes a hijacked connection back into a pool when its handler returns. The handler closed the link but did not wait for the goroutine that writes its frames, which then dereferenced a connection that was gone. An entry crashed in SetWriteDeadline when links were silent and in a frozen entry that was resumed; with the pooled connection in use again, frames could also go to another link.

Ruled out: a second Close (it is under a sync.Once) and the dialling side (its connections are not pooled).

Change: the server's handler closes the link and waits for the writer. The remote address is read once, while the connection is open.

TestServerWaitsForWriter: data race and panic without the wait, clean with it (go test -race ./internal/link).

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -45,7 +45,7 @@
 	}
 	err := s.upgrader.Upgrade(request, func(socket *websocket.Conn) {
 		conn := newSocketConn(socket)
-		defer conn.Close()
+		defer conn.release()
 		s.handle(conn)
 	})
 	if err != nil {
--- a/internal/link/websocket.go
+++ b/internal/link/websocket.go
@@ -24,14 +24,19 @@
 	queue  chan []byte
 	once   sync.Once
 	done   chan struct{}
+	// written is closed when the writer has ended.
+	written chan struct{}
+	remote  string
 }
 
 // newSocketConn starts the writer of an open WebSocket connection.
 func newSocketConn(socket *websocket.Conn) *socketConn {
 	c := &socketConn{
-		socket: socket,
-		queue:  make(chan []byte, sendQueueLength),
-		done:   make(chan struct{}),
+		socket:  socket,
+		queue:   make(chan []byte, sendQueueLength),
+		done:    make(chan struct{}),
+		written: make(chan struct{}),
+		remote:  socket.RemoteAddr().String(),
 	}
 	socket.SetReadLimit(wire.MaxFrameBytes)
 	go c.write()
@@ -40,6 +45,7 @@
 
 // write sends queued frames until the link ends.
 func (c *socketConn) write() {
+	defer close(c.written)
 	for {
 		select {
 		case frame := <-c.queue:
@@ -128,6 +134,14 @@
 	})
 }
 
+// release closes the link and waits until its writer has ended. An accepted connection goes back to a
+// pool when the server's handler returns; a write after that would use a connection that is gone, or
+// another link's.
+func (c *socketConn) release() {
+	c.Close()
+	<-c.written
+}
+
 func (c *socketConn) Done() <-chan struct{} { return c.done }
 
-func (c *socketConn) RemoteAddress() string { return c.socket.RemoteAddr().String() }
+func (c *socketConn) RemoteAddress() string { return c.remote }
--- a/internal/link/websocket_test.go
+++ b/internal/link/websocket_test.go
@@ -41,3 +41,26 @@
 		is.Equal(message.(*wire.Heartbeat).Sequence, sequence)
 	}
 }
+
+// TestServerWaitsForWriter guards against a writer that uses the connection of an accepted link after
+// the handler returned it to the server's pool: it crashed the entry and could write to another link.
+func TestServerWaitsForWriter(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(func(conn Conn) {
+		for sequence := range uint64(100) {
+			_ = conn.Send(&wire.Heartbeat{Sequence: sequence})
+		}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(listener, nil) }()
+	defer func() { _ = server.Shutdown() }()
+	for range 50 {
+		conn, err := NewDialer(nil).Dial(context.Background(), listener.Addr().String())
+		is.NoErr(err)
+		for err == nil {
+			_, err = conn.Receive()
+		}
+		conn.Close()
+	}
+}
