frontend: end kept connections with an answer while an entry stops

Cause: a stopping entry closed idle kept connections at once.

Ruled out: requests in progress; all of those were finished.

Change: while the entry drains, every answer carries Connection: close, and the callers' server goes on for one second before it closes idle connections. TestDrain fails without the middleware and passes with it. A connection that stays idle for that whole second is still closed under a request that starts at the same moment; HTTP has no remedy.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,6 +143,10 @@
 // hubDrainDelay lets the last answers leave the process before the links are closed.
 const hubDrainDelay = 100 * time.Millisecond
 
+// callerDrainDelay is how long a stopping entry still answers its callers, so that kept connections end
+// with an answer and the balancer's probes see that the entry drains.
+const callerDrainDelay = time.Second
+
 // waitOrDone waits for the duration or the end of the context.
 func waitOrDone(ctx context.Context, duration time.Duration) {
 	select {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -118,6 +118,7 @@
 	if err != nil {
 		e.config.Logger.Warn("requests in progress at the end of the stop timeout", "error", err)
 	}
+	waitOrDone(drain, callerDrainDelay)
 	if err := app.ShutdownWithContext(drain); err != nil {
 		e.config.Logger.Warn("callers' server did not stop in time", "error", err)
 	}
--- a/internal/frontend/http.go
+++ b/internal/frontend/http.go
@@ -48,6 +48,7 @@
 		// The body is passed on unread.
 		DisablePreParseMultipartForm: true,
 	})
+	app.Use(f.closeWhenDraining)
 	app.Get(routeLive, func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get(routeReady, f.serveReady)
 	app.Get(routeMetrics, serveMetrics)
@@ -56,6 +57,23 @@
 	return app
 }
 
+// closeWhenDraining ends the caller's connection with the answer while the entry stops. Otherwise the
+// server would close kept connections at its shutdown, and a request that is sent on one at that
+// moment is lost without an outcome.
+func (f *Frontend) closeWhenDraining(c fiber.Ctx) error {
+	err := c.Next()
+	if f.isDraining() {
+		c.Response().SetConnectionClose()
+	}
+	return err
+}
+
+func (f *Frontend) isDraining() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.draining
+}
+
 // errorHandler turns errors of the HTTP layer into typed errors; none of these requests has run.
 func (f *Frontend) errorHandler(c fiber.Ctx, err error) error {
 	failed := invalid("the request is malformed")
@@ -77,11 +95,8 @@
 
 // serveReady reports whether new requests are taken on.
 func (f *Frontend) serveReady(c fiber.Ctx) error {
-	f.mutex.Lock()
-	draining := f.draining
-	f.mutex.Unlock()
 	switch {
-	case draining:
+	case f.isDraining():
 		return c.Status(fiber.StatusServiceUnavailable).SendString("draining\n")
 	case f.config.Document() == nil:
 		return c.Status(fiber.StatusServiceUnavailable).SendString("configuration not known\n")
--- a/internal/frontend/http_test.go
+++ b/internal/frontend/http_test.go
@@ -112,6 +112,8 @@
 type answer struct {
 	StatusCode int
 	Header     http.Header
+	// Close says that the server ends the connection with the answer.
+	Close bool
 }
 
 // do sends a request; headers are name and value pairs.
@@ -133,7 +135,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return answer{response.StatusCode, response.Header}, string(data)
+	return answer{response.StatusCode, response.Header, response.Close}, string(data)
 }
 
 const checkPath = "/v1/services/check/request"
@@ -233,7 +235,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, _ := io.ReadAll(response.Body)
-	return answer{response.StatusCode, response.Header}, string(data)
+	return answer{response.StatusCode, response.Header, response.Close}, string(data)
 }
 
 // listen serves the application on a loopback port until the test ends.
@@ -397,6 +399,7 @@
 	response, _ := r.do(t, "POST", checkPath, "")
 	is.Equal(response.StatusCode, 503)
 	is.Equal(response.Header.Get("Retry-After"), "1")
+	is.True(response.Close) // a kept connection would be closed under the caller's next request
 	response, _ = r.do(t, "GET", "/readyz", "")
 	is.Equal(response.StatusCode, 503)
 	finish()
