Let urgent work replace its team's own batch work

The team's quota was held by its own batch work, and urgent work evicted only for room on a worker. It now also evicts the team's cheapest batch work, and waits for evictions in progress; the quota is never exceeded.

A task counted its waiting time from its creation. One that had run for more than five minutes and was then evicted had the rank of urgent work, was older, and took the room back; the trace shows eight evictions for one urgent task. The waiting time of a task that ran now begins with its return.

Ruled out: too few eviction candidates and the capacity of the workers. The interference model summed over a map in random order; the order is now fixed, since a replay must be reproducible.

--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -3,7 +3,9 @@
 package interference
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -92,7 +94,11 @@
 	}
 	target := math.Log(min(max(o.Slowdown, 1/maxSlowdown), maxSlowdown))
 	predicted, norm := 0.0, 1.0
-	for class, count := range o.Neighbours {
+	// The order is fixed, since a sum of floating-point numbers depends on it and equal observations
+	// must give equal models.
+	classes := slices.Sorted(maps.Keys(o.Neighbours))
+	for _, class := range classes {
+		count := o.Neighbours[class]
 		predicted += float64(count) * m.logOf(Pair{o.Class, class})
 		norm += float64(count * count)
 	}
@@ -101,7 +107,8 @@
 		predicted += worker.log
 	}
 	step := (target - predicted) / norm
-	for class, count := range o.Neighbours {
+	for _, class := range classes {
+		count := o.Neighbours[class]
 		if pair := m.pair(Pair{o.Class, class}); pair != nil {
 			pair.observe(step*float64(count), o.At)
 		}
--- a/internal/scheduler/candidate.go
+++ b/internal/scheduler/candidate.go
@@ -70,7 +70,17 @@
 	case task.PriorityUrgent:
 		base = rankUrgent
 	}
-	return min(base+int(max(0, now.Sub(record.CreatedAt))/ageStep), rankUrgent)
+	return min(base+int(max(0, now.Sub(waitingSince(record)))/ageStep), rankUrgent)
+}
+
+// waitingSince returns since when the task waits. For a task that ran before, that is its return:
+// measured from the creation, a task that was evicted for urgent work would go ahead of that work and
+// take the room back.
+func waitingSince(record *task.Record) time.Time {
+	if record.Attempt == 0 {
+		return record.CreatedAt
+	}
+	return record.UpdatedAt
 }
 
 // failedOn reports whether the task is not to be tried on the worker because it failed there.
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -27,6 +27,8 @@
 	zoneSize map[string]int64
 	total    resource.Quantity
 	teamUse  map[string]resource.Quantity
+	// teamEnding is the part of teamUse that ends with evictions and cancellations in progress.
+	teamEnding map[string]resource.Quantity
 	plan     Plan
 	scratch  []*node
 	// placeless holds the shapes of tasks that found no worker in this plan.
@@ -38,6 +40,7 @@
 		snapshot: snapshot, random: random, weights: weightsOf(snapshot.Document),
 		classes: map[string]int{}, groups: map[groupPlace]int{},
 		zoneUse: map[string]int64{}, zoneSize: map[string]int64{}, placeless: map[shape]tally{}, teamUse: map[string]resource.Quantity{},
+		teamEnding: map[string]resource.Quantity{},
 	}
 	for team, use := range snapshot.TeamUse {
 		c.teamUse[team] = use
@@ -135,6 +138,7 @@
 	n.count(c.classes[spec.Class], spec.Kind, 1)
 	if record.State == task.StateEvicting || record.State == task.StateCancelling {
 		n.ending = n.ending.Add(spec.Size)
+		c.endTeamUse(record)
 	}
 	c.addGroup(spreadGroup(spec), n, 1)
 }
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -40,13 +40,18 @@
 	if best == nil {
 		return false
 	}
-	for _, victim := range best.holdings {
-		c.evict(best.node, victim, Eviction{Cause: CauseUrgent, For: t.record.ID})
-	}
-	best.node.promised = best.node.promised.Add(t.size)
+	c.evictFor(t, best)
 	return true
 }
 
+// evictFor evicts the victims and keeps their room for the urgent task.
+func (c *cycle) evictFor(t *candidate, chosen *victims) {
+	for _, victim := range chosen.holdings {
+		c.evict(chosen.node, victim, Eviction{Cause: CauseUrgent, For: t.record.ID})
+	}
+	chosen.node.promised = chosen.node.promised.Add(t.size)
+}
+
 func (c *cycle) urgentEvictions() int {
 	count := 0
 	for _, eviction := range c.plan.Evictions {
@@ -86,22 +91,30 @@
 	return best
 }
 
-// choose takes the cheapest tasks of a worker until the urgent task fits, then leaves out those
-// that are not needed.
+// choose takes the cheapest tasks of a worker until the urgent task fits there.
 func (c *cycle) choose(t *candidate, n *node, upTo task.Kind) *victims {
 	room := n.free.Add(n.ending).Sub(n.promised)
+	return c.fewest(n, c.evictable(n, upTo), func(freed resource.Quantity) bool {
+		return t.size.FitsIn(room.Add(freed))
+	})
+}
+
+// fewest takes holdings in their order until what they free is enough, then leaves out those that
+// are not needed. It returns nil if all are not enough or none is needed.
+func (c *cycle) fewest(n *node, holdings []Holding, enough func(freed resource.Quantity) bool) *victims {
 	var chosen []Holding
-	for _, holding := range c.evictable(n, upTo) {
-		if t.size.FitsIn(room) {
+	var freed resource.Quantity
+	for _, holding := range holdings {
+		if enough(freed) {
 			break
 		}
 		chosen = append(chosen, holding)
-		room = room.Add(holding.Record.Spec.Size)
+		freed = freed.Add(holding.Record.Spec.Size)
 	}
-	if !t.size.FitsIn(room) || len(chosen) == 0 {
+	if !enough(freed) || len(chosen) == 0 {
 		return nil
 	}
-	chosen = needed(chosen, room, t.size)
+	chosen = needed(chosen, freed, enough)
 	loss := 0
 	for _, holding := range chosen {
 		loss += c.loss(holding) + victimBaseLoss
@@ -109,12 +122,12 @@
 	return &victims{node: n, holdings: chosen, loss: loss}
 }
 
-// needed drops the most expensive holdings without which the size still fits.
-func needed(chosen []Holding, room, size resource.Quantity) []Holding {
+// needed drops the most expensive holdings without which the rest is still enough.
+func needed(chosen []Holding, freed resource.Quantity, enough func(freed resource.Quantity) bool) []Holding {
 	for index := len(chosen) - 1; index >= 0; index-- {
-		without := room.Sub(chosen[index].Record.Spec.Size)
-		if size.FitsIn(without) {
-			room = without
+		without := freed.Sub(chosen[index].Record.Spec.Size)
+		if enough(without) {
+			freed = without
 			chosen = slices.Delete(chosen, index, index+1)
 		}
 	}
@@ -187,5 +200,6 @@
 	eviction.TaskID, eviction.Attempt = holding.Record.ID, holding.Record.Attempt
 	eviction.Worker, eviction.LossPermille = n.Name, c.loss(holding)
 	n.ending = n.ending.Add(holding.Record.Spec.Size)
+	c.endTeamUse(holding.Record)
 	c.plan.Evictions = append(c.plan.Evictions, eviction)
 }
--- a/internal/scheduler/make.go
+++ b/internal/scheduler/make.go
@@ -43,7 +43,7 @@
 
 func (c *cycle) schedule(t *candidate) {
 	if !c.withinQuota(t) {
-		c.unscheduled(t.record, CauseQuota, &tally{})
+		c.overQuota(t)
 		return
 	}
 	var excluded tally
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -216,6 +216,48 @@
 	is.Equal(again.Unscheduled[0].Cause, CauseAwaitingEviction)
 }
 
+// TestEvictedTaskWaits guards against an old task that was evicted for urgent work and takes the room
+// back before the urgent work.
+func TestEvictedTaskWaits(t *testing.T) {
+	is := is.New(t)
+	w := worker(0)
+	evicted := record("evicted", task.KindBatch, task.PriorityNormal, size(16, 60))
+	evicted.CreatedAt = now.Add(-time.Hour)
+	running(&w, evicted, 10)
+	is.NoErr(evicted.Evicted(task.Origin{Worker: w.Name, Attempt: 1, Session: w.Session}, "c", 10, now))
+	urgent := record("urgent", task.KindBatch, task.PriorityUrgent, size(16, 60))
+	s := snapshot(worker(0))
+	s.Pending = []*task.Record{evicted, urgent}
+	is.Equal(Make(s, random()).Assignments[0].TaskID, urgent.ID)
+}
+
+// TestUrgentWithinQuota guards against urgent work that waits until its team's quota is freed by work
+// of lower priority, against an eviction of another team's work for it, and against a second eviction
+// while the first is in progress.
+func TestUrgentWithinQuota(t *testing.T) {
+	is := is.New(t)
+	w := worker(0)
+	foreign := record("foreign", task.KindBatch, task.PriorityLow, size(2, 4))
+	foreign.Spec.Team = "t1"
+	running(&w, foreign, 1)
+	running(&w, record("costly", task.KindBatch, task.PriorityNormal, size(4, 8)), 900)
+	cheap := running(&w, record("cheap", task.KindBatch, task.PriorityNormal, size(4, 8)), 10)
+	s := snapshot(w)
+	s.Document.Teams[0].Quota = size(8, 0)
+	s.TeamUse = map[string]resource.Quantity{"t0": size(8, 16)}
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(3, 4))}
+	plan := Make(s, random())
+	is.Equal(len(plan.Assignments), 0) // the quota holds
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].TaskID, cheap.ID)
+
+	_ = cheap.EvictRequested(task.Origin{Worker: w.Name, Attempt: cheap.Attempt, Session: w.Session}, "", now)
+	is.Equal(len(Make(s, random()).Evictions), 0)
+
+	s.Pending = []*task.Record{record("normal", task.KindBatch, task.PriorityNormal, size(3, 4))}
+	is.Equal(len(Make(s, random()).Evictions), 0) // only urgent work evicts
+}
+
 // TestEvictionChoice guards against evicting a cheap task that makes no difference, and against
 // stopping a non-idempotent task whose start is not confirmed, which would make it unknown.
 func TestEvictionChoice(t *testing.T) {
