fleet: tell connected agents of entries that register later

Cause: an entry named the registered entries to an agent only in the Welcome that answers its Hello. An entry that is replaced under another address would have had no agents for the shards it owns.

Ruled out: a failed dial; the agent had not been told the address, and it handles a later Welcome already.

Change: the hub's reconcile step compares the list that each agent was told with the current one and sends another Welcome if they differ.

Test: TestEntriesAnnounced fails without the call in Run.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"clementineflow/internal/configuration"
 	"clementineflow/internal/wire"
 )
@@ -75,3 +77,16 @@
 		p.revision = max(p.revision, revision)
 	}
 }
+
+// announceEntries sends another Welcome to the agents that were told another list of entries. An agent
+// that connected before an entry registered learns of that entry in no other way.
+func (h *Hub) announceEntries() {
+	entries := h.config.Status.Entries()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for conn := range h.links {
+		if conn.role == wire.RoleAgent && !slices.Equal(conn.entries, entries) {
+			h.welcome(conn)
+		}
+	}
+}
--- a/internal/fleet/hub.go
+++ b/internal/fleet/hub.go
@@ -75,6 +75,8 @@
 	session                   uint64
 	// revision is the highest configuration revision sent to or stated by the other side.
 	revision uint64
+	// entries is the list that the last Welcome named.
+	entries []wire.EntryAddress
 }
 
 // encodedDocument keeps the encoding of the current document, which goes to every link.
@@ -120,6 +122,7 @@
 	defer ticker.Stop()
 	for {
 		h.forwardConfiguration()
+		h.announceEntries()
 		h.dialPeers(ctx, &group)
 		h.prune(time.Now())
 		select {
--- a/internal/fleet/hub_test.go
+++ b/internal/fleet/hub_test.go
@@ -30,7 +30,12 @@
 func (s *fakeStatus) Backed() bool                           { return true }
 func (s *fakeStatus) StoreReachable() bool                   { return true }
 func (s *fakeStatus) ConfirmationAge() (time.Duration, bool) { return 1500 * time.Microsecond, true }
-func (s *fakeStatus) Entries() []wire.EntryAddress           { return s.entries }
+
+func (s *fakeStatus) Entries() []wire.EntryAddress {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.entries
+}
 
 func (s *fakeStatus) RegisteredNames() []string {
 	s.mutex.Lock()
@@ -203,6 +208,27 @@
 	return messages
 }
 
+// TestEntriesAnnounced guards against an agent that never dials an entry which registered after the
+// agent had connected.
+func TestEntriesAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, "a")
+		defer w.stop()
+		agent := w.agent("a", "i1", "b1", 1)
+		time.Sleep(2 * reconcileInterval)
+		synctest.Wait()
+		is.Equal(len(agent.received), 1) // an unchanged list is not sent again
+		<-agent.received
+		entries := []wire.EntryAddress{{Name: "a", LinkAddress: "a"}, {Name: "b", LinkAddress: "b"}}
+		w.status["a"].set(func(s *fakeStatus) { s.entries = entries })
+		time.Sleep(2 * reconcileInterval)
+		synctest.Wait()
+		is.Equal(len(agent.received), 1)
+		is.Equal((<-agent.received).(*wire.Welcome).Entries, entries)
+	})
+}
+
 // TestHeartbeat guards against a Hello or a heartbeat without an answer, and a confirmation that is
 // stated younger than it is.
 func TestHeartbeat(t *testing.T) {
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -147,6 +147,7 @@
 	}
 	if conn.Send(message) == nil {
 		conn.revision = max(conn.revision, revision)
+		conn.entries = message.Entries
 	}
 }
 
