--- a/test/process/load_test.go
+++ b/test/process/load_test.go
@@ -16,6 +16,9 @@
 type loadConfig struct {
 	nonIdempotent bool
 	timeout       time.Duration
+	// balanced plays the platform's balancer: an entry that refuses as stopping gets no request until
+	// it is ready again.
+	balanced bool
 }
 
 // loadResult is one request with the entry that it was sent to and when.
@@ -86,6 +89,24 @@
 		l.results = append(l.results, loadResult{result, l.entries[index], sentAt, time.Since(sentAt)})
 		l.mutex.Unlock()
 		time.Sleep(50 * time.Millisecond)
+		if l.config.balanced && result.Status == http.StatusServiceUnavailable {
+			l.awaitReady(l.entries[index])
+		}
+	}
+}
+
+// awaitReady waits until the entry says that it takes requests, or the load ends.
+func (l *load) awaitReady(e *entryNode) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for !l.stop.Load() {
+		response, err := client.Get("http://" + e.callers + "/readyz")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
 	}
 }
 
