test/process: use a loopback address of the test process alone

Another test process on the machine took port 30401 of 127.0.0.1 between the check and the start of an entry (TestKilledEntryLosesNoWork, 1 of 24 tests in that run). Each process now listens on an address of its own below 127.0.0.0/8.

--- a/test/process/ports_test.go
+++ b/test/process/ports_test.go
@@ -15,9 +15,13 @@
 	portCount = 12000
 )
 
+// host is a loopback address of this test process alone, so that two test processes on one machine
+// cannot take each other's ports.
+var host = fmt.Sprintf("127.%d.%d.2", 1+(os.Getpid()>>8)%250, os.Getpid()%256)
+
 var (
 	portMutex sync.Mutex
-	nextPort  = os.Getpid() * 97 % portCount
+	nextPort  int
 )
 
 // freeAddress returns a loopback address with a port on which nothing listens.
@@ -27,7 +31,7 @@
 	defer portMutex.Unlock()
 	for range portCount {
 		nextPort = (nextPort + 1) % portCount
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		address := fmt.Sprintf("%s:%d", host, firstPort+nextPort)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/test/process/tls_test.go
+++ b/test/process/tls_test.go
@@ -17,7 +17,7 @@
 	"time"
 )
 
-// authority signs one certificate for 127.0.0.1 that all processes of a test use.
+// authority signs one certificate for the address of this test process that all processes of a test use.
 type authority struct {
 	certificate, key, ca []byte
 	pair                 tls.Certificate
@@ -56,7 +56,7 @@
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "clementineflow test"},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature,
+		IPAddresses: []net.IP{net.ParseIP(host)}, KeyUsage: x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	if parent == nil {
@@ -94,7 +94,7 @@
 }
 
 func (a *authority) client() *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{a.pair}, RootCAs: a.pool, ServerName: "127.0.0.1"}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{a.pair}, RootCAs: a.pool, ServerName: host}
 }
 
 // server returns a configuration for gRPC that requires a client certificate.
