frontend: keep the series that each request updates

Cause: each finished request made the names of its two series with Sprintf and looked them up while it held the frontend's mutex.

Change: the frontend keeps the series by service, priority and outcome.

Figures, benchmark of one update of both series (load average 46, 10 cores): before 3.0 to 3.7 us and 5 allocations, after 0.12 to 0.18 us and none.

Conclusion: 3 us less for each request under the mutex. The effect on the throughput of the path is below the noise of the shared machine.

--- a/internal/frontend/driver.go
+++ b/internal/frontend/driver.go
@@ -218,13 +218,13 @@
 	f.finished.put(finishedRequest{key: fl.key, fingerprint: fl.fingerprint, result: result, at: now})
 	f.admission.Done(fl.key.team)
 	f.signalIdle()
-	recordLatency(fl.request.Service, fl.priority, now.Sub(fl.began))
+	f.metrics.latency(fl.request.Service, fl.priority).Update(now.Sub(fl.began).Seconds())
 	if result.Outcome == wire.OutcomeAnswered {
-		countOutcome(fl.request.Service, outcomeAnswered, "")
+		f.metrics.outcome(fl.request.Service, outcomeAnswered, "").Inc()
 		return
 	}
 	failed := failureOf(&result)
-	countOutcome(fl.request.Service, failed.outcome(), failed.code)
+	f.metrics.outcome(fl.request.Service, failed.outcome(), failed.code).Inc()
 }
 
 // logDecision logs a routing decision: what was chosen, over what, and why. The fields are part of the
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -58,6 +58,7 @@
 	queues    map[string]*routing.Queue
 	admission *admission.Controller
 	revision  uint64
+	metrics   requestMetrics
 }
 
 // New returns a frontend, or ErrConfig. It is registered at the hub before the first link is served.
@@ -75,6 +76,7 @@
 		router:    routing.New(config.Zone, config.Seed),
 		queues:    make(map[string]*routing.Queue),
 		admission: admission.New(),
+		metrics:   newRequestMetrics(),
 	}, nil
 }
 
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -13,14 +12,54 @@
 // Metrics of requests; the service names come from the configuration, so that the number of series is
 // bounded.
 
-func recordLatency(service string, priority task.Priority, duration time.Duration) {
-	name := fmt.Sprintf(`clementine_request_duration_seconds{service=%q,priority=%q}`, service, priority)
-	metrics.GetOrCreateHistogram(name).Update(duration.Seconds())
+// latencyKey and outcomeKey name the series of the requests.
+type (
+	latencyKey struct {
+		service  string
+		priority task.Priority
+	}
+	outcomeKey struct {
+		service, outcome string
+		code             Code
+	}
+)
+
+// requestMetrics keeps the series that each request updates, since making their names takes longer than
+// updating them.
+type requestMetrics struct {
+	latencies map[latencyKey]*metrics.Histogram
+	outcomes  map[outcomeKey]*metrics.Counter
 }
 
-func countOutcome(service, outcome string, code Code) {
-	name := fmt.Sprintf(`clementine_requests_total{service=%q,outcome=%q,code=%q}`, service, outcome, code)
-	metrics.GetOrCreateCounter(name).Inc()
+func newRequestMetrics() requestMetrics {
+	return requestMetrics{
+		latencies: make(map[latencyKey]*metrics.Histogram),
+		outcomes:  make(map[outcomeKey]*metrics.Counter),
+	}
+}
+
+// latency returns the histogram of the time from a request's arrival to its result.
+func (m *requestMetrics) latency(service string, priority task.Priority) *metrics.Histogram {
+	key := latencyKey{service: service, priority: priority}
+	held, ok := m.latencies[key]
+	if !ok {
+		held = metrics.GetOrCreateHistogram(
+			fmt.Sprintf(`clementine_request_duration_seconds{service=%q,priority=%q}`, service, priority))
+		m.latencies[key] = held
+	}
+	return held
+}
+
+// outcome returns the counter of an outcome.
+func (m *requestMetrics) outcome(service, outcome string, code Code) *metrics.Counter {
+	key := outcomeKey{service: service, outcome: outcome, code: code}
+	held, ok := m.outcomes[key]
+	if !ok {
+		held = metrics.GetOrCreateCounter(
+			fmt.Sprintf(`clementine_requests_total{service=%q,outcome=%q,code=%q}`, service, outcome, code))
+		m.outcomes[key] = held
+	}
+	return held
 }
 
 func countRetry(service string) {
