standin: run many agents in one process, submit at a rate, fit slopes

clementine-standin fleet runs the real agent over worker runtimes in memory and serves the time from submission to start; submit submits batch tasks at a fixed rate in an open loop; slopes fits lines to a table of measurements. scripts/bench.sh and scripts/capacity.sh (make bench, make capacity) use them.

The ports of a cluster are relative to PORT_BASE, so that two clusters can run side by side, and the cleanup of scripts/cluster.sh no longer ends at the first process that is gone when the shell runs with set -e.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUF       := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
 HANDMADE  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo
+.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity
 
 ## build: compiles the programs into bin/
 build:
@@ -41,3 +41,11 @@
 ## demo: starts a small region on loopback and shows what it does
 demo: build
 	scripts/demo.sh
+
+## bench: measures the request path against direct calls, an idle agent, and the store calls
+bench: build
+	scripts/bench.sh
+
+## capacity: measures entries, agents and the store at several sizes and fits the slopes
+capacity: build
+	scripts/capacity.sh
--- a/cmd/clementine-standin/main.go
+++ b/cmd/clementine-standin/main.go
@@ -15,8 +15,12 @@
 	Store  storeCommand  `cmd:"" help:"Run the stand-in for the platform's key-value service."`
 	Worker workerCommand `cmd:"" help:"Run the stand-in for a worker's runtime and target."`
 
+	Fleet fleetCommand `cmd:"" help:"Run many agents in one process, for measurements."`
+
 	Request requestCommand `cmd:"" help:"Send one request as a caller."`
 	Load    loadCommand    `cmd:"" help:"Send many requests as callers and report outcomes and latencies."`
+	Submit  submitCommand  `cmd:"" help:"Submit many batch tasks at a fixed rate."`
+	Slopes  slopesCommand  `cmd:"" help:"Fit a line to each column of a table of measurements."`
 }
 
 func main() {
--- a/cmd/clementine-standin/store.go
+++ b/cmd/clementine-standin/store.go
@@ -72,8 +72,13 @@
 }
 
 func serveControl(ctx context.Context, listener net.Listener, faulty *kvstore.Faulty) error {
+	return serveHTTP(ctx, listener, kvstore.NewControl(faulty))
+}
+
+// serveHTTP serves a control interface until the context ends.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
-		Handler:           kvstore.NewControl(faulty),
+		Handler:           handler,
 		ReadHeaderTimeout: controlTimeout,
 		ReadTimeout:       controlTimeout,
 		WriteTimeout:      controlTimeout,
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Functions that start the daemons and stand-ins on loopback addresses. Sourced by demo.sh and bench.sh.
+# Functions that start the daemons and stand-ins on loopback addresses. Sourced by demo.sh, bench.sh and capacity.sh.
 # Every process is stopped when the shell that sourced this file exits.
 
 BIN=${BIN:-$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)/bin}
@@ -7,9 +7,9 @@
 declare -A PID
 
 cleanup() {
-  for name in "${!PID[@]}"; do kill -CONT "${PID[$name]}" 2>/dev/null; kill "${PID[$name]}" 2>/dev/null; done
+  for name in "${!PID[@]}"; do kill -CONT "${PID[$name]}" 2>/dev/null || true; kill "${PID[$name]}" 2>/dev/null || true; done
   sleep 0.5
-  for name in "${!PID[@]}"; do kill -9 "${PID[$name]}" 2>/dev/null; done
+  for name in "${!PID[@]}"; do kill -9 "${PID[$name]}" 2>/dev/null || true; done
   if [ -z "${KEEP_LOGS:-}" ]; then rm -rf "$WORK"; else echo "logs kept in $WORK"; fi
 }
 trap cleanup EXIT
@@ -22,11 +22,15 @@
   PID[$name]=$!
 }
 
-STORE=127.0.0.1:17400
-start_store() { launch store "$BIN/clementine-standin" store --listen $STORE --control 127.0.0.1:17401; }
+# Clusters with different port bases run side by side; each uses 2000 ports.
+PORT_BASE=${PORT_BASE:-17000}
+
+STORE=127.0.0.1:$((PORT_BASE + 400))
+STORE_CONTROL=127.0.0.1:$((PORT_BASE + 401))
+start_store() { launch store "$BIN/clementine-standin" store --listen "$STORE" --control "$STORE_CONTROL"; }
 
 # entry_port INDEX KIND prints a port of an entry.
-entry_port() { echo $((17000 + 100 * $1 + $2)); }
+entry_port() { echo $((PORT_BASE + 100 * $1 + $2)); }
 CALLERS=1 OPERATORS=2 LINKS=3 METRICS=4
 
 # start_entry INDEX NAME ZONE LOG_LEVEL
@@ -52,7 +56,7 @@
 }
 
 # worker_port INDEX KIND prints a port of a worker.
-worker_port() { echo $((18000 + 10 * $1 + $2)); }
+worker_port() { echo $((PORT_BASE + 1000 + 10 * $1 + $2)); }
 RUNTIME=1 TARGET=2 CONTROL=3 ANNOUNCE=4 AGENT_METRICS=5
 
 # start_worker INDEX NAME ZONE SERVICE [STAND-IN FLAGS...] starts the stand-in worker and its agent.
@@ -100,3 +104,21 @@
     sleep 0.2
   done
 }
+
+# cpu_ticks NAME prints the processor time of a process, in clock ticks.
+cpu_ticks() { sed 's/.*) //' "/proc/${PID[$1]}/stat" | awk '{print $12 + $13}'; }
+
+# resident_mb NAME prints the resident memory of a process in MB.
+resident_mb() { awk '$1 == "VmRSS:" {printf "%.1f", $2 / 1024}' "/proc/${PID[$1]}/status"; }
+
+# store_calls NAME prints the calls of one method that the store has counted, or of all with "total".
+store_calls() {
+  curl -s "http://$STORE_CONTROL/counters" | tr ',{}' '\n' | tr -d '" ' |
+    awk -F: -v name="$1" '$2 ~ /^[0-9]+$/ && (name == "total" || $1 == name) {sum += $2} END {print sum + 0}'
+}
+
+# metric PORT NAME prints one metric of a process.
+metric() { curl -s "http://127.0.0.1:$1/metrics" | awk -v name="$2" '$1 == name {print $2}'; }
+
+# load_average prints the load of the machine over the last minute.
+load_average() { cut -d' ' -f1 /proc/loadavg; }
