standin: measure the fleet as a whole and the traffic of an agent in a burst

The processor time and memory of the fleet's process are divided by no number of agents any more: their slope is the cost of one agent, without its process. Adds a test of the collector's settings.

--- /dev/null
+++ b/cmd/clementined/collector_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"runtime/debug"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestTuneCollector guards against a daemon that ignores the operator's GOGC, or that keeps the
+// runtime's default.
+func TestTuneCollector(t *testing.T) {
+	is := is.New(t)
+	const chosen = 150
+	before := debug.SetGCPercent(chosen)
+	defer debug.SetGCPercent(before)
+	t.Setenv("GOGC", "150")
+	tuneCollector(noMemoryLimit)
+	is.Equal(debug.SetGCPercent(chosen), chosen)
+	t.Setenv("GOGC", "")
+	tuneCollector(noMemoryLimit)
+	is.Equal(debug.SetGCPercent(before), collectorPercent)
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -47,7 +47,8 @@
     "$(store_calls total) $(store_calls compare_and_swap)"
 }
 
-# idle AGENTS measures without work and appends a row to the table of the idle figures.
+# idle AGENTS measures without work and appends a row to the table of the idle figures. The slope of the
+# figures of the whole fleet is the cost of one agent without that of its process.
 idle() {
   local before average memory index
   average=$(load_average) before=$(counters)
@@ -57,7 +58,7 @@
     -v fleet="$(resident_mb fleet)" -v average="$average" '{
       seconds = $12 - $1
       printf "%d %.3f %.1f %.3f %.3f %.0f %.2f %.0f %.1f %.2f %.2f %s\n", agents,
-        100 * ($13 - $2) / hz / seconds / 3, entry, 100 * ($14 - $3) / hz / seconds / agents, fleet / agents,
+        100 * ($13 - $2) / hz / seconds / 3, entry, 100 * ($14 - $3) / hz / seconds, fleet,
         ($15 - $4 + 60 * ($16 - $5)) / seconds / agents, ($16 - $5) / seconds / agents,
         ($17 + $18 - $6 - $7 + 60 * ($19 + $20 - $8 - $9)) / seconds / 3, ($19 + $20 - $8 - $9) / seconds / 3,
         ($21 - $10) / seconds, ($22 - $11) / seconds, average}' >>"$TABLES/idle"
@@ -96,8 +97,9 @@
   echo "$before $started $(field count "$summary" | paste -sd' ') $(field p99_ms "$summary" | paste -sd' ') $(field per_second "$summary") $(field peak_second "$summary")" |
     awk -v agents="$1" -v rate="$2" -v tasks="$tasks" -v hz="$(getconf CLK_TCK)" -v plans="$plans" -v plan="$plan_seconds" -v average="$average" '{
       seconds = $12 - $1
-      printf "%d %d %d %d %.1f %d %.0f %.0f %.1f %.2f %.1f %s\n", agents, rate, tasks, $23 + $24, $27, $28, $25, $26,
-        ($22 - $11) / seconds, plans ? 1000 * plan / plans : 0, 100 * ($13 - $2) / hz / seconds / 3, average}' >>"$TABLES/burst"
+      printf "%d %d %d %d %.1f %d %.0f %.0f %.1f %.1f %.2f %.1f %.0f %s\n", agents, rate, tasks, $23 + $24, $27, $28, $25, $26,
+        ($21 - $10) / seconds, ($22 - $11) / seconds, plans ? 1000 * plan / plans : 0, 100 * ($13 - $2) / hz / seconds / 3,
+        ($15 - $4 + 60 * ($16 - $5)) / seconds / agents, average}' >>"$TABLES/burst"
 }
 
 # field NAME JSON prints the values of a numeric field, one a line.
@@ -126,14 +128,15 @@
   done
 )
 
-echo "agents entry_cpu% entry_MB agent_cpu% agent_MB agent_B/s agent_frames/s entry_B/s entry_frames/s store_calls/s store_writes/s load" >"$TABLES/idle"
+echo "agents entry_cpu% entry_MB agents_cpu% agents_MB agent_B/s agent_frames/s entry_B/s entry_frames/s store_calls/s store_writes/s load" >"$TABLES/idle"
 echo "agents longest_ms load" >"$TABLES/change"
-echo "agents rate tasks started starts/s peak/s p99_ms urgent_p99_ms writes/s plan_ms entry_cpu% load" >"$TABLES/burst"
+echo "agents rate tasks started starts/s peak/s p99_ms urgent_p99_ms calls/s writes/s plan_ms entry_cpu% agent_B/s load" >"$TABLES/burst"
 for size in $SIZES; do measure "$size"; done
 
-echo "== without work, per entry and per agent =="
+echo "== without work: one entry, all agents of the fleet together, links of one agent and of one entry =="
 column -t "$TABLES/idle"
-bin/clementine-standin slopes "$TABLES/idle"
+sed 's/ [^ ]*$//' "$TABLES/idle" >"$TABLES/lines" # without the load average
+bin/clementine-standin slopes "$TABLES/lines"
 echo "== a configuration change in force everywhere, longest of four (polled every 500 ms) =="
 column -t "$TABLES/change"
 for rate in $RATES; do
