--- a/internal/replay/worker.go
+++ b/internal/replay/worker.go
@@ -70,7 +70,7 @@
 // tickWorker derives the worker's heartbeats and usage reports.
 func (r *replayer) tickWorker(w *worker) {
 	r.after(time.Duration(w.Every), func() {
-		if !w.alive || r.workers[w.Name] != w {
+		if !w.alive || r.workers[w.Name] != w || w.Every <= 0 {
 			return
 		}
 		r.control(w)
