Add an experiment that compares decisions with plain ones

Cause: nothing measured whether routing, placement and throttling beat plain policies. Adds internal/experiment (stand-in workers in virtual time, baselines random, least-outstanding and first-fit), the command 'experiment' and 'make experiment'. routing.Without switches off parts for the comparison.

--- a/cmd/clementine-standin/main.go
+++ b/cmd/clementine-standin/main.go
@@ -17,6 +17,8 @@
 
 	Request requestCommand `cmd:"" help:"Send one request as a caller."`
 	Load    loadCommand    `cmd:"" help:"Send many requests as callers and report outcomes and latencies."`
+
+	Experiment experimentCommand `cmd:"" help:"Compare the decisions with plain ones in virtual time."`
 }
 
 func main() {
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -56,7 +56,7 @@
 		return Ejection{}, false
 	}
 	cause, outlier := s.outlier(now, t)
-	if !outlier || t.ejection.active(now) || !s.mayEject(now, t) {
+	if !outlier || r.without.Ejection || t.ejection.active(now) || !s.mayEject(now, t) {
 		return Ejection{}, false
 	}
 	length := t.ejection.begin(now)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,6 +22,22 @@
 	zone     string
 	random   *rand.Rand
 	services map[string]*service
+	without  Without
+}
+
+// Without names parts of the policy that are switched off, so that their effect can be measured.
+type Without struct {
+	// LatencyFeedback makes the cost of a worker depend on its requests in progress only.
+	LatencyFeedback bool
+	// Ejection keeps failing and slow workers among the candidates.
+	Ejection bool
+}
+
+// NewWithout returns a router of an entry in the zone that lacks parts of the policy.
+func NewWithout(zone string, seed uint64, without Without) *Router {
+	r := New(zone, seed)
+	r.without = without
+	return r
 }
 
 // service is the state of the workers of one service.
@@ -236,6 +252,9 @@
 		second++
 	}
 	median := s.medianLatency(now)
+	if r.without.LatencyFeedback {
+		median = 0
+	}
 	if pool[second].cost(now, median) < pool[first].cost(now, median) {
 		return pool[second]
 	}
