Pack service replicas so that more workers hold batch work unthrottled

Cause: balanceScore spread replicas over 8 of 11 workers (bc-coast), so nearly all batch work ran beside a service and was throttled. Change: a replica prefers well-used workers, at most two of a class on one. Zones and racks are spread by the filter as before. Cost: the loss of one worker takes two replicas.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -449,3 +449,26 @@
 		})
 	}
 }
+
+// TestReplicasPacked guards against replicas on so many workers that no batch work is free of
+// throttling, and against more than two replicas that are lost with one worker.
+func TestReplicasPacked(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0), worker(1), worker(2))
+	for i := range s.Workers {
+		s.Workers[i].Zone, s.Workers[i].Rack = "a", "r0"
+	}
+	for i := range 4 {
+		replica := record(fmt.Sprintf("s%d", i), task.KindService, task.PriorityUrgent, size(2, 4))
+		replica.Spec.Service = "s"
+		s.Pending = append(s.Pending, replica)
+	}
+	counts := map[string]int{}
+	for _, a := range Make(s, random()).Assignments {
+		counts[a.Worker]++
+	}
+	is.Equal(len(counts), 2) // two workers hold all replicas
+	for _, count := range counts {
+		is.Equal(count, 2)
+	}
+}
