Make room within a team's quota for its urgent work

Cause: an urgent task above its team's quota waited for the team's own batch work to end (cause quota), however long; only room on workers led to evictions. Change: the team's own batch tasks that lose least are evicted, none of other teams, within the bounds of urgent evictions.

--- a/internal/scheduler/make.go
+++ b/internal/scheduler/make.go
@@ -43,6 +43,11 @@
 
 func (c *cycle) schedule(t *candidate) {
 	if !c.withinQuota(t) {
+		if t.urgent && c.makeQuota(t) {
+			c.charge(t)
+			c.unscheduled(t.record, CauseAwaitingEviction, &tally{})
+			return
+		}
 		c.unscheduled(t.record, CauseQuota, &tally{})
 		return
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -472,3 +472,29 @@
 		is.Equal(count, 2)
 	}
 }
+
+// TestUrgentWithinQuota guards against urgent work that waits for its own team's batch work because
+// the quota is used up, and against evictions of another team for it.
+func TestUrgentWithinQuota(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0))
+	s.Document.Teams[0].Quota = size(8, 0)
+	s.TeamUse = map[string]resource.Quantity{"t0": size(8, 8)}
+	running(&s.Workers[0], record("dear", task.KindBatch, task.PriorityNormal, size(4, 4)), 900)
+	cheap := running(&s.Workers[0], record("cheap", task.KindBatch, task.PriorityNormal, size(4, 4)), 100)
+	other := record("other", task.KindBatch, task.PriorityNormal, size(4, 4))
+	other.Spec.Team = "t1"
+	running(&s.Workers[0], other, 1)
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(3, 3))}
+	plan := Make(s, random())
+	is.Equal(len(plan.Assignments), 0)
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].TaskID, cheap.ID)
+	is.Equal(plan.Unscheduled[0].Cause, CauseAwaitingEviction)
+
+	cheap.State = task.StateEvicting // the next plan waits for it
+	is.Equal(len(Make(s, random()).Evictions), 0)
+
+	s.Pending[0].Spec.Size = size(9, 3) // above the quota for ever
+	is.Equal(len(Make(s, random()).Evictions), 0)
+}
