Correct declared processors by sums instead of the peak

Cause: Sizes kept a decaying peak of used to declared processors per team and class. With declarations off by up to four either way the peak stays near four, so each task of the class counted four times and workers stayed empty. Change: decayed sums of used and declared processors, as their use adds up on a worker; memory keeps the peak.

--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -15,6 +15,8 @@
 	loweredMargin = 1.2
 	// peakDecay is the part by which the peak approaches a lower observation.
 	peakDecay = 0.05
+	// sumDecay is the part of the sums that one observation replaces.
+	sumDecay = 0.02
 	// maxSizeKeys bounds the memory of Sizes.
 	maxSizeKeys = 4096
 )
@@ -22,12 +24,17 @@
 // sizeKey groups tasks that are expected to be mis-declared alike.
 type sizeKey struct{ team, class string }
 
-// sizeRatio holds decaying peaks of the use relative to the declared size.
+// sizeRatio holds decaying sums of used and declared processors, whose use adds up on a worker, and
+// a decaying peak of the memory relative to the declared size, since too little of it ends tasks.
 type sizeRatio struct {
-	processors, memory float64
-	observations       int
+	usedMilliCPU, declaredMilliCPU float64
+	memory                         float64
+	observations                   int
 }
 
+// processors returns the used processors relative to the declared ones.
+func (r *sizeRatio) processors() float64 { return r.usedMilliCPU / r.declaredMilliCPU }
+
 // Sizes corrects declared sizes by the observed use per team and class. It is not safe for
 // concurrent use.
 type Sizes struct{ ratios map[sizeKey]*sizeRatio }
@@ -49,7 +56,8 @@
 		ratio = &sizeRatio{}
 		s.ratios[key] = ratio
 	}
-	ratio.processors = peak(ratio.processors, float64(used.MilliCPU)/float64(declared.MilliCPU))
+	ratio.usedMilliCPU = (1-sumDecay)*ratio.usedMilliCPU + float64(used.MilliCPU)
+	ratio.declaredMilliCPU = (1-sumDecay)*ratio.declaredMilliCPU + float64(declared.MilliCPU)
 	ratio.memory = peak(ratio.memory, float64(used.MemoryBytes)/float64(declared.MemoryBytes))
 	ratio.observations++
 }
@@ -70,7 +78,7 @@
 	}
 	steady := ratio.observations >= steadyObservations
 	return resource.Quantity{
-		MilliCPU:     corrected(declared.MilliCPU, ratio.processors, steady),
+		MilliCPU:     corrected(declared.MilliCPU, ratio.processors(), steady),
 		MemoryBytes:  corrected(declared.MemoryBytes, ratio.memory, steady),
 		Accelerators: declared.Accelerators,
 	}
