Make room for urgent work by expected use as well

Cause: a worker was usable only if the expected use fitted, but evictions made room by declared sizes alone. With underdeclared work an urgent task evicted, still did not fit, and evicted again, or waited without an eviction. Change: evictions and awaited room count declared sizes and expected use. The test fails without the change.

--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -131,14 +131,20 @@
 func (c *cycle) addHolding(n *node, record *task.Record) {
 	spec := &record.Spec
 	n.free = n.free.Sub(spec.Size)
-	n.expectedUse = n.expectedUse.Add(lower(c.snapshot.Sizes.Correct(spec.Team, spec.Class, spec.Size), n.Capacity))
+	n.expectedUse = n.expectedUse.Add(c.expectedUse(n, spec))
 	n.count(c.classes[spec.Class], spec.Kind, 1)
 	if record.State == task.StateEvicting || record.State == task.StateCancelling {
 		n.ending = n.ending.Add(spec.Size)
+		n.endingUse = n.endingUse.Add(c.expectedUse(n, spec))
 	}
 	c.addGroup(spreadGroup(spec), n, 1)
 }
 
+// expectedUse returns the size corrected by observation, at most the size of the worker.
+func (c *cycle) expectedUse(n *node, spec *task.Spec) resource.Quantity {
+	return lower(c.snapshot.Sizes.Correct(spec.Team, spec.Class, spec.Size), n.Capacity)
+}
+
 func (c *cycle) addGroup(group string, n *node, delta int) {
 	if group == "" {
 		return
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"clementineflow/internal/resource"
 	"clementineflow/internal/task"
 )
 
@@ -43,7 +42,7 @@
 	for _, victim := range best.holdings {
 		c.evict(best.node, victim, Eviction{Cause: CauseUrgent, For: t.record.ID})
 	}
-	best.node.promised = best.node.promised.Add(t.size)
+	best.node.promise(t)
 	return true
 }
 
@@ -63,8 +62,8 @@
 		if n.ending.IsZero() || firstReason(placeFilters, t, n) != 0 {
 			continue
 		}
-		if t.size.FitsIn(n.free.Add(n.ending).Sub(n.promised)) {
-			n.promised = n.promised.Add(t.size)
+		if n.fits(t, n.later()) {
+			n.promise(t)
 			return true
 		}
 	}
@@ -89,19 +88,19 @@
 // choose takes the cheapest tasks of a worker until the urgent task fits, then leaves out those
 // that are not needed.
 func (c *cycle) choose(t *candidate, n *node, upTo task.Kind) *victims {
-	room := n.free.Add(n.ending).Sub(n.promised)
+	room := n.later()
 	var chosen []Holding
 	for _, holding := range c.evictable(n, upTo) {
-		if t.size.FitsIn(room) {
+		if n.fits(t, room) {
 			break
 		}
 		chosen = append(chosen, holding)
-		room = room.Add(holding.Record.Spec.Size)
+		room = room.without(holding.Record.Spec.Size, c.expectedUse(n, &holding.Record.Spec))
 	}
-	if !t.size.FitsIn(room) || len(chosen) == 0 {
+	if !n.fits(t, room) || len(chosen) == 0 {
 		return nil
 	}
-	chosen = needed(chosen, room, t.size)
+	chosen = c.needed(t, n, chosen, room)
 	loss := 0
 	for _, holding := range chosen {
 		loss += c.loss(holding) + victimBaseLoss
@@ -109,12 +108,14 @@
 	return &victims{node: n, holdings: chosen, loss: loss}
 }
 
-// needed drops the most expensive holdings without which the size still fits.
-func needed(chosen []Holding, room, size resource.Quantity) []Holding {
+// needed drops the most expensive holdings without which the task still fits.
+func (c *cycle) needed(t *candidate, n *node, chosen []Holding, room later) []Holding {
 	for index := len(chosen) - 1; index >= 0; index-- {
-		without := room.Sub(chosen[index].Record.Spec.Size)
-		if size.FitsIn(without) {
-			room = without
+		spec := &chosen[index].Record.Spec
+		use := c.expectedUse(n, spec)
+		kept := later{room.free.Sub(spec.Size), room.use.Add(use)}
+		if n.fits(t, kept) {
+			room = kept
 			chosen = slices.Delete(chosen, index, index+1)
 		}
 	}
@@ -187,5 +188,6 @@
 	eviction.TaskID, eviction.Attempt = holding.Record.ID, holding.Record.Attempt
 	eviction.Worker, eviction.LossPermille = n.Name, c.loss(holding)
 	n.ending = n.ending.Add(holding.Record.Spec.Size)
+	n.endingUse = n.endingUse.Add(c.expectedUse(n, &holding.Record.Spec))
 	c.plan.Evictions = append(c.plan.Evictions, eviction)
 }
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -16,6 +16,8 @@
 	// ending is held by tasks that are being evicted or stopped; promised is kept for tasks that
 	// wait for that room.
 	ending, promised resource.Quantity
+	// endingUse and promisedUse are the expected use of the same tasks.
+	endingUse, promisedUse resource.Quantity
 	// classes counts the tasks by class index, serviceClasses only those of services.
 	classes        []int
 	serviceClasses []int
@@ -45,6 +47,36 @@
 	return n.expectedUse.Add(expected).FitsIn(n.Capacity)
 }
 
+// later is the room on a worker once tasks have ended.
+type later struct {
+	// free holds declared sizes, use the expected use that remains.
+	free, use resource.Quantity
+}
+
+// later returns the room after the tasks that are being evicted or stopped have ended.
+func (n *node) later() later {
+	return later{
+		free: n.free.Add(n.ending).Sub(n.promised),
+		use:  n.expectedUse.Sub(n.endingUse).Add(n.promisedUse),
+	}
+}
+
+// without returns the room after one more task has ended.
+func (l later) without(size, use resource.Quantity) later {
+	return later{l.free.Add(size), l.use.Sub(use)}
+}
+
+// fits reports whether both the declared size and the expected use of a task find room.
+func (n *node) fits(t *candidate, room later) bool {
+	return t.size.FitsIn(room.free) && room.use.Add(lower(t.expected, n.Capacity)).FitsIn(n.Capacity)
+}
+
+// promise keeps room for a task that waits for it.
+func (n *node) promise(t *candidate) {
+	n.promised = n.promised.Add(t.size)
+	n.promisedUse = n.promisedUse.Add(lower(t.expected, n.Capacity))
+}
+
 // add accounts for a task that is placed on the worker by this plan.
 func (n *node) add(t *candidate) {
 	n.free = n.free.Sub(t.size)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -498,3 +498,27 @@
 	s.Pending[0].Spec.Size = size(9, 3) // above the quota for ever
 	is.Equal(len(Make(s, random()).Evictions), 0)
 }
+
+// TestUrgentObservedUse guards against urgent work that waits for ever, or evicts again and again,
+// where declared sizes leave room but the observed use does not.
+func TestUrgentObservedUse(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0))
+	s.Sizes = NewSizes()
+	for range 50 {
+		s.Sizes.Observe("t0", "c0", size(2, 2), size(4, 2))
+	}
+	for i := range 4 {
+		running(&s.Workers[0], record(fmt.Sprintf("b%d", i), task.KindBatch, task.PriorityNormal, size(2, 2)), 100*(4-i))
+	}
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(2, 2))}
+	plan := Make(s, random())
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].TaskID, "batch/t0/b3")
+
+	s.Workers[0].Holdings[3].Record.State = task.StateEvicting // the next plan waits for it
+	is.Equal(len(Make(s, random()).Evictions), 0)
+
+	s.Workers[0].Holdings = s.Workers[0].Holdings[:3]
+	is.Equal(len(Make(s, random()).Assignments), 1)
+}
