--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUF       := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
 HANDMADE  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity
+.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity experiment
 
 ## build: compiles the programs into bin/
 build:
@@ -49,3 +49,7 @@
 ## capacity: measures entries, agents and the store at several sizes and fits the slopes
 capacity: build
 	scripts/capacity.sh
+
+## experiment: compares the decisions with plain ones in virtual time (see docs/policy.md)
+experiment: build
+	bin/clementine-standin experiment
--- a/cmd/clementine-standin/main.go
+++ b/cmd/clementine-standin/main.go
@@ -21,6 +21,8 @@
 	Load    loadCommand    `cmd:"" help:"Send many requests as callers and report outcomes and latencies."`
 	Submit  submitCommand  `cmd:"" help:"Submit many batch tasks at a fixed rate."`
 	Slopes  slopesCommand  `cmd:"" help:"Fit a line to each column of a table of measurements."`
+
+	Experiment experimentCommand `cmd:"" help:"Compare the decisions with plain ones in virtual time."`
 }
 
 func main() {
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"clementineflow/internal/resource"
 	"clementineflow/internal/task"
 )
 
@@ -49,7 +48,7 @@
 	for _, victim := range chosen.holdings {
 		c.evict(chosen.node, victim, Eviction{Cause: CauseUrgent, For: t.record.ID})
 	}
-	chosen.node.promised = chosen.node.promised.Add(t.size)
+	chosen.node.promise(t)
 }
 
 func (c *cycle) urgentEvictions() int {
@@ -68,8 +67,8 @@
 		if n.ending.IsZero() || firstReason(placeFilters, t, n) != 0 {
 			continue
 		}
-		if t.size.FitsIn(n.free.Add(n.ending).Sub(n.promised)) {
-			n.promised = n.promised.Add(t.size)
+		if n.fits(t, n.later()) {
+			n.promise(t)
 			return true
 		}
 	}
@@ -93,28 +92,25 @@
 
 // choose takes the cheapest tasks of a worker until the urgent task fits there.
 func (c *cycle) choose(t *candidate, n *node, upTo task.Kind) *victims {
-	room := n.free.Add(n.ending).Sub(n.promised)
-	return c.fewest(n, c.evictable(n, upTo), func(freed resource.Quantity) bool {
-		return t.size.FitsIn(room.Add(freed))
-	})
+	return c.fewest(n, c.evictable(n, upTo), func(room later) bool { return n.fits(t, room) })
 }
 
-// fewest takes holdings in their order until what they free is enough, then leaves out those that
-// are not needed. It returns nil if all are not enough or none is needed.
-func (c *cycle) fewest(n *node, holdings []Holding, enough func(freed resource.Quantity) bool) *victims {
+// fewest takes holdings in their order until the room that they leave is enough, then leaves out
+// those that are not needed. It returns nil if all are not enough or none is needed.
+func (c *cycle) fewest(n *node, holdings []Holding, enough func(room later) bool) *victims {
+	room := n.later()
 	var chosen []Holding
-	var freed resource.Quantity
 	for _, holding := range holdings {
-		if enough(freed) {
+		if enough(room) {
 			break
 		}
 		chosen = append(chosen, holding)
-		freed = freed.Add(holding.Record.Spec.Size)
+		room = room.without(holding.Record.Spec.Size, c.expectedUse(n, &holding.Record.Spec))
 	}
-	if !enough(freed) || len(chosen) == 0 {
+	if !enough(room) || len(chosen) == 0 {
 		return nil
 	}
-	chosen = needed(chosen, freed, enough)
+	chosen = c.needed(n, chosen, room, enough)
 	loss := 0
 	for _, holding := range chosen {
 		loss += c.loss(holding) + victimBaseLoss
@@ -122,12 +118,13 @@
 	return &victims{node: n, holdings: chosen, loss: loss}
 }
 
-// needed drops the most expensive holdings without which the rest is still enough.
-func needed(chosen []Holding, freed resource.Quantity, enough func(freed resource.Quantity) bool) []Holding {
+// needed drops the most expensive holdings without which the room is still enough.
+func (c *cycle) needed(n *node, chosen []Holding, room later, enough func(room later) bool) []Holding {
 	for index := len(chosen) - 1; index >= 0; index-- {
-		without := freed.Sub(chosen[index].Record.Spec.Size)
-		if enough(without) {
-			freed = without
+		spec := &chosen[index].Record.Spec
+		kept := later{room.free.Sub(spec.Size), room.use.Add(c.expectedUse(n, spec))}
+		if enough(kept) {
+			room = kept
 			chosen = slices.Delete(chosen, index, index+1)
 		}
 	}
@@ -200,6 +197,7 @@
 	eviction.TaskID, eviction.Attempt = holding.Record.ID, holding.Record.Attempt
 	eviction.Worker, eviction.LossPermille = n.Name, c.loss(holding)
 	n.ending = n.ending.Add(holding.Record.Spec.Size)
+	n.endingUse = n.endingUse.Add(c.expectedUse(n, &holding.Record.Spec))
 	c.endTeamUse(holding.Record)
 	c.plan.Evictions = append(c.plan.Evictions, eviction)
 }
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -69,9 +69,10 @@
 		if firstReason(placeFilters, t, n) != 0 {
 			continue
 		}
-		room := n.free.Add(n.ending).Sub(n.promised)
-		choice := c.fewest(n, c.ownBatch(n, team.Name), func(freed resource.Quantity) bool {
-			return t.size.FitsIn(room.Add(freed)) && WithinQuota(use.Sub(freed), team.Quota)
+		before := n.later()
+		choice := c.fewest(n, c.ownBatch(n, team.Name), func(room later) bool {
+			freed := room.free.Sub(before.free)
+			return n.fits(t, room) && WithinQuota(use.Sub(freed), team.Quota)
 		})
 		if choice != nil && (best == nil || choice.loss < best.loss) {
 			best = choice
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -491,3 +491,76 @@
 		})
 	}
 }
+
+// TestReplicasPacked guards against replicas on so many workers that no batch work is free of
+// throttling, and against more than two replicas that are lost with one worker.
+func TestReplicasPacked(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0), worker(1), worker(2))
+	for i := range s.Workers {
+		s.Workers[i].Zone, s.Workers[i].Rack = "a", "r0"
+	}
+	for i := range 4 {
+		replica := record(fmt.Sprintf("s%d", i), task.KindService, task.PriorityUrgent, size(2, 4))
+		replica.Spec.Service = "s"
+		s.Pending = append(s.Pending, replica)
+	}
+	counts := map[string]int{}
+	for _, a := range Make(s, random()).Assignments {
+		counts[a.Worker]++
+	}
+	is.Equal(len(counts), 2) // two workers hold all replicas
+	for _, count := range counts {
+		is.Equal(count, 2)
+	}
+}
+
+// TestUrgentAwaitsOwnQuota guards against urgent work that waits for its own team's batch work because
+// the quota is used up, and against evictions of another team for it.
+func TestUrgentAwaitsOwnQuota(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0))
+	s.Document.Teams[0].Quota = size(8, 0)
+	s.TeamUse = map[string]resource.Quantity{"t0": size(8, 8)}
+	running(&s.Workers[0], record("dear", task.KindBatch, task.PriorityNormal, size(4, 4)), 900)
+	cheap := running(&s.Workers[0], record("cheap", task.KindBatch, task.PriorityNormal, size(4, 4)), 100)
+	other := record("other", task.KindBatch, task.PriorityNormal, size(4, 4))
+	other.Spec.Team = "t1"
+	running(&s.Workers[0], other, 1)
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(3, 3))}
+	plan := Make(s, random())
+	is.Equal(len(plan.Assignments), 0)
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].TaskID, cheap.ID)
+	is.Equal(plan.Unscheduled[0].Cause, CauseAwaitingEviction)
+
+	cheap.State = task.StateEvicting // the next plan waits for it
+	is.Equal(len(Make(s, random()).Evictions), 0)
+
+	s.Pending[0].Spec.Size = size(9, 3) // above the quota for ever
+	is.Equal(len(Make(s, random()).Evictions), 0)
+}
+
+// TestUrgentObservedUse guards against urgent work that waits for ever, or evicts again and again,
+// where declared sizes leave room but the observed use does not.
+func TestUrgentObservedUse(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(worker(0))
+	s.Sizes = NewSizes()
+	for range 50 {
+		s.Sizes.Observe("t0", "c0", size(2, 2), size(4, 2))
+	}
+	for i := range 4 {
+		running(&s.Workers[0], record(fmt.Sprintf("b%d", i), task.KindBatch, task.PriorityNormal, size(2, 2)), 100*(4-i))
+	}
+	s.Pending = []*task.Record{record("urgent", task.KindBatch, task.PriorityUrgent, size(2, 2))}
+	plan := Make(s, random())
+	is.Equal(len(plan.Evictions), 1)
+	is.Equal(plan.Evictions[0].TaskID, "batch/t0/b3")
+
+	s.Workers[0].Holdings[3].Record.State = task.StateEvicting // the next plan waits for it
+	is.Equal(len(Make(s, random()).Evictions), 0)
+
+	s.Workers[0].Holdings = s.Workers[0].Holdings[:3]
+	is.Equal(len(Make(s, random()).Assignments), 1)
+}
