controller: stop an unknown running task only after a commit

Cause: on a Hello, an entry stops a running attempt of a task without a record. A former owner that has not noticed the loss of its shard has no record of the tasks submitted since. An agent that has restarted does not know the newer epoch, so it carries the stop out, and the work is lost without a checkpoint.

Change: the stop needs a commit that confirms that there is no record; a former owner cannot make it. A failed commit is retried with the Hello.

Before: TestUnknownRunningTask fails. After: it passes with the other tests of the controller.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -145,6 +145,27 @@
 	})
 }
 
+// TestUnknownRunningTask guards against a former owner that stops a task that was submitted after it
+// lost the shard; an agent that has restarted does not know the newer epoch.
+func TestUnknownRunningTask(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.shard.setFail(ErrOwnershipLost)
+		r.WorkerConnected(r.fleet.change("w0", func(view *View) {
+			view.Session.Number = 2
+			view.Tasks = []wire.TaskStatus{{TaskID: "batch/fleet/later", Attempt: 1, Running: true}}
+		}))
+		r.settle()
+		if r.fleet.count("stop ") != 0 {
+			t.Error("stopped without the shard")
+		}
+		r.shard.setFail(nil)
+		r.settle()
+		if r.fleet.count("stop ") == 0 {
+			t.Error("a task without a record keeps running")
+		}
+	})
+}
+
 // TestStaleEpochRefusal guards against moving a task because a former owner's Start was refused
 // while the present owner's Start of the same attempt succeeds.
 func TestStaleEpochRefusal(t *testing.T) {
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -64,6 +64,9 @@
 	for index := range view.Tasks {
 		status := &view.Tasks[index]
 		if c.shardOf(status.TaskID) == shard.ID() {
+			if status.Running && records[status.TaskID] == nil && !c.certainlyUnknown(ctx, shard, status.TaskID) {
+				return false
+			}
 			c.stopUnrecorded(shard, records[status.TaskID], view, status)
 			if known, ok := listed[status.TaskID]; !ok || status.Attempt > known.Attempt {
 				listed[status.TaskID] = status
@@ -79,6 +82,17 @@
 	return len(changes) == 0 || c.commitSessionChanges(ctx, shard, changes)
 }
 
+// certainlyUnknown confirms by a commit that the task has no record. A former owner that has not noticed
+// the loss of the shard does not know the tasks submitted since, and must not stop them.
+func (c *Controller) certainlyUnknown(ctx context.Context, shard Shard, taskID string) bool {
+	unknown := false
+	err := c.propose(ctx, shard, func(tasks map[string]*task.Record) error {
+		unknown = tasks[taskID] == nil
+		return nil
+	})
+	return err == nil && unknown
+}
+
 // sessionChange is what a Hello of a newer session means for one record.
 type sessionChange struct {
 	taskID  string
