--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,6 +8,7 @@
 IDLE_SECONDS=${IDLE_SECONDS:-15}
 BURST_SECONDS=${BURST_SECONDS:-8}
 RATES=${RATES:-110 220}        # submissions a second; 110 is one region's half of the peak
+FULL_AGENTS=${FULL_AGENTS:-11}   # the largest size at which urgent work is measured on full workers
 TEAMS=41                       # of the scale target
 TABLES=$(mktemp -d)
 trap 'rm -rf "$TABLES"' EXIT
@@ -84,7 +85,7 @@
   plan_seconds=$(entries_sum clementine_plan_seconds_sum)
   curl -s -X DELETE "http://127.0.0.1:$FLEET_PORT/starts"
   report=$("$BIN/clementine-standin" submit --tasks "$tasks" --rate "$2" --urgent-every 20 --prefix "rate-$2" --run-time 500ms \
-    --servers "127.0.0.1:$(entry_port 1 $OPERATORS),127.0.0.1:$(entry_port 2 $OPERATORS),127.0.0.1:$(entry_port 3 $OPERATORS)")
+    --servers "$SERVERS")
   echo "$1 agents, rate $2: $report" >>"$TABLES/reports"
   started="$(counters)"
   for _ in $(seq 20); do
@@ -102,6 +103,20 @@
         ($15 - $4 + 60 * ($16 - $5)) / seconds / agents, average}' >>"$TABLES/burst"
 }
 
+# full AGENTS fills the workers with long tasks and appends how fast urgent tasks start, each of which needs
+# an eviction.
+full() {
+  local average held=$(($1 * 16)) urgent=20 summary
+  average=$(load_average)
+  "$BIN/clementine-standin" submit --tasks $held --rate 100 --prefix full --cpu 1 --run-time 10m --servers "$SERVERS" >/dev/null
+  sleep 4
+  curl -s -X DELETE "http://127.0.0.1:$FLEET_PORT/starts"
+  "$BIN/clementine-standin" submit --tasks $urgent --rate 5 --urgent-every 1 --prefix urgent --cpu 1 --run-time 10m --servers "$SERVERS" >/dev/null
+  sleep 5
+  summary=$(curl -s "http://127.0.0.1:$FLEET_PORT/starts")
+  echo "$1 $held $urgent $(field count "$summary" | tail -1) $(field p50_ms "$summary" | tail -1) $(field max_ms "$summary" | tail -1) $average" >>"$TABLES/full"
+}
+
 # field NAME JSON prints the values of a numeric field, one a line.
 field() { grep -o "\"$1\":[0-9.]*" <<<"$2" | cut -d: -f2; }
 
@@ -110,6 +125,7 @@
   # shellcheck source=scripts/cluster.sh
   . scripts/cluster.sh
   FLEET_PORT=$((PORT_BASE + 500))
+  SERVERS="127.0.0.1:$(entry_port 1 $OPERATORS),127.0.0.1:$(entry_port 2 $OPERATORS),127.0.0.1:$(entry_port 3 $OPERATORS)"
   write_configuration "$WORK/configuration.yaml"
   start_store
   start_entry 1 entry-1 burnaby
@@ -126,11 +142,13 @@
     burst "$1" "$rate"
     sleep 2
   done
+  if [ "$1" -le "$FULL_AGENTS" ]; then full "$1"; fi
 )
 
 echo "agents entry_cpu% entry_MB agents_cpu% agents_MB agent_B/s agent_frames/s entry_B/s entry_frames/s store_calls/s store_writes/s load" >"$TABLES/idle"
 echo "agents longest_ms load" >"$TABLES/change"
 echo "agents rate tasks started starts/s peak/s p99_ms urgent_p99_ms calls/s writes/s plan_ms entry_cpu% agent_B/s load" >"$TABLES/burst"
+echo "agents held urgent started p50_ms max_ms load" >"$TABLES/full"
 for size in $SIZES; do measure "$size"; done
 
 echo "== without work: one entry, all agents of the fleet together, links of one agent and of one entry =="
@@ -143,5 +161,7 @@
   echo "== burst of $rate submissions a second over $BURST_SECONDS s, each twentieth urgent =="
   awk -v rate="$rate" 'NR == 1 || $2 == rate' "$TABLES/burst" | column -t
 done
+echo "== urgent tasks on workers full of other work =="
+column -t "$TABLES/full"
 echo "== submissions =="
 cat "$TABLES/reports"
