--- a/test/process/target_test.go
+++ b/test/process/target_test.go
@@ -20,6 +20,7 @@
 	// A few slow requests keep the leaving target running; for all others it is as fast as the rest, so
 	// that routing has no other reason to leave it out.
 	c.put(victim.control, worker.PathSettings, worker.TargetSettings{ServiceMillis: 12000})
+	time.Sleep(500 * time.Millisecond) // the fast requests that were in progress have ended
 	c.eventually("slow requests are in progress at the target", func() error {
 		if _, target := c.truth(victim); target.Concurrent == 0 {
 			return errNotAnswered
