test/process: make the leaving target the best choice for routing

With Leaving ignored by the agent, TestLeavingTarget stayed green: the slow requests alone made every other target a better choice. The other targets are now busier than the leaving one.

--- a/test/process/target_test.go
+++ b/test/process/target_test.go
@@ -17,8 +17,8 @@
 	c := startCluster(t)
 	victim := c.workers[0]
 	requests := startLoad(c, c.entries, loadConfig{nonIdempotent: true, timeout: 20 * time.Second})
-	// A few slow requests keep the leaving target running; for all others it is as fast as the rest, so
-	// that routing has no other reason to leave it out.
+	// A few slow requests keep the leaving target running. For all others it is as fast as the rest, and
+	// these are busy, so that routing has no other reason to leave it out.
 	c.put(victim.control, worker.PathSettings, worker.TargetSettings{ServiceMillis: 12000})
 	time.Sleep(500 * time.Millisecond) // the fast requests that were in progress have ended
 	c.eventually("slow requests are in progress at the target", func() error {
@@ -27,7 +27,13 @@
 		}
 		return nil
 	})
-	c.put(victim.control, worker.PathSettings, worker.TargetSettings{ServiceMillis: 10})
+	for _, w := range c.workers {
+		c.put(w.control, worker.PathSettings, worker.TargetSettings{ServiceMillis: 400})
+	}
+	more := []*load{}
+	for range 2 {
+		more = append(more, startLoad(c, c.entries, loadConfig{nonIdempotent: true, timeout: 20 * time.Second}))
+	}
 	time.Sleep(time.Second)
 	victim.vm.signal(syscall.SIGTERM)
 	left := time.Now()
@@ -50,5 +56,7 @@
 	for id, count := range last.Executions {
 		victim.archiveRequest[id] += count
 	}
-	requireOnly(requests, requests.finish(), "a target left", told)
+	for _, each := range append(more, requests) {
+		requireOnly(each, each.finish(), "a target left", told)
+	}
 }
