--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -32,7 +32,9 @@
 // spread is a median with the extremes over the seeds.
 type spread struct{ Median, Lowest, Highest float64 }
 
-func (s spread) String() string { return fmt.Sprintf("%.2f (%.2f-%.2f)", s.Median, s.Lowest, s.Highest) }
+func (s spread) String() string {
+	return fmt.Sprintf("%.2f (%.2f-%.2f)", s.Median, s.Lowest, s.Highest)
+}
 
 func newSpread(values []float64) spread {
 	slices.Sort(values)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -75,10 +75,20 @@
 	for _, w := range r.workers {
 		r.advance(w)
 	}
+	r.countWaiting()
 	r.figures.finish()
 	return r.figures
 }
 
+// countWaiting adds the waits of urgent jobs that have not started yet.
+func (r *run) countWaiting() {
+	for _, record := range r.records {
+		if record.Attempt == 0 && record.Spec.Kind == task.KindBatch && record.Spec.Priority == task.PriorityUrgent {
+			r.figures.UrgentWaits = append(r.figures.UrgentWaits, r.clock().Sub(record.CreatedAt))
+		}
+	}
+}
+
 // clock returns the virtual time for the decision code.
 func (r *run) clock() time.Time { return epoch.Add(r.now) }
 
