--- a/cmd/clementine-standin/experiment.go
+++ b/cmd/clementine-standin/experiment.go
@@ -44,6 +44,9 @@
 		Deployments: []experiment.Deployment{experiment.Coastline(coast), experiment.Rampart(island)},
 		Scenarios:   c.scenarios(), Seeds: c.Seeds, Parts: c.Parts,
 	})
+	if count := suite.Overloaded(); count > 0 {
+		return errors.Errorf("a worker was above its capacity in %d runs", count)
+	}
 	if c.Output == "json" {
 		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(suite), "write figures")
 	}
--- a/internal/experiment/suite.go
+++ b/internal/experiment/suite.go
@@ -70,3 +70,16 @@
 	}
 	return nil
 }
+
+// Overloaded returns the number of runs in which a worker held more than its capacity or slots.
+func (s *Suite) Overloaded() int {
+	count := 0
+	for _, row := range s.Rows {
+		for _, f := range row.Seeds {
+			if f.PeakAllocated > 1 || f.PeakSlots > slotsPerWorker {
+				count++
+			}
+		}
+	}
+	return count
+}
