Record an entry's inputs as a trace and document traces

An operator can now switch on a trace with trace.file and trace.max_size in an entry's settings, and replay it with clementinectl. The frontend reports each valid request before its decision; workers' messages come from one more handler of the hub; heartbeats, configuration and store state are looked at once a second, since the hub reports no heartbeats to handlers. Ruled out: recording bodies and payloads, which no decision depends on.

The worst case of a recording entry's speed is not measured.

--- a/cmd/clementined/entry.go
+++ b/cmd/clementined/entry.go
@@ -10,6 +10,7 @@
 
 	"clementineflow/internal/entry"
 	"clementineflow/internal/link"
+	"clementineflow/internal/replay"
 	"clementineflow/internal/settings"
 	"clementineflow/internal/store/grpcstore"
 )
@@ -36,6 +37,11 @@
 		return err
 	}
 	defer func() { _ = client.Close() }()
+	seed := uint64(time.Now().UnixNano())
+	recorder, err := p.recorder(seed)
+	if err != nil {
+		return err
+	}
 	daemon, err := entry.New(entry.Config{
 		Name: p.settings.Name, Region: p.settings.Region, Zone: p.settings.Zone,
 		Callers: p.settings.Listen.Callers, Operators: p.settings.Listen.Operators,
@@ -43,7 +49,7 @@
 		AdvertisedOperators: p.settings.Advertise.Operators, AdvertisedLinks: p.settings.Advertise.Links,
 		Store: client, Dialer: link.NewDialer(p.clientTLS()), ServerTLS: p.serverTLS(),
 		OperatorDial: p.operatorDial, StopTimeout: p.settings.StopTimeout, Logger: p.logger,
-		Seed: uint64(time.Now().UnixNano()),
+		Seed: seed, Recorder: recorder,
 	})
 	if err != nil {
 		return err
@@ -51,6 +57,16 @@
 	return p.run(ctx, daemon.Run)
 }
 
+// recorder returns the recorder of a trace, or nil if the settings name none.
+func (p *process) recorder(seed uint64) (*replay.Recorder, error) {
+	if p.settings.Trace.File == "" {
+		return nil, nil
+	}
+	return replay.NewRecorder(p.settings.Trace.File, p.settings.Trace.MaxBytes, replay.Header{
+		Seed: seed, Region: p.settings.Region, Zone: p.settings.Zone,
+	})
+}
+
 // storeTLS returns the TLS configuration for the platform's store, or nil without TLS.
 func (p *process) storeTLS() (*tls.Config, error) {
 	if p.certificates == nil {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 
 	"clementineflow/internal/link"
+	"clementineflow/internal/replay"
 	"clementineflow/internal/store"
 )
 
@@ -30,6 +31,8 @@
 	Logger      *log.Logger
 	// Seed seeds the random choices of routing and scheduling.
 	Seed uint64
+	// Recorder records the inputs of the entry; nil if no trace is asked for.
+	Recorder *replay.Recorder
 }
 
 // serverTLS returns the TLS configuration of a listener, or nil.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,6 +90,7 @@
 	}
 	e.frontend, err = frontend.New(frontend.Config{
 		Zone: c.Zone, Hub: e.hub, Document: e.follower.Document, Logger: c.Logger, Seed: c.Seed,
+		Arrived: e.arrived(),
 	})
 	if err != nil {
 		return err
@@ -98,6 +99,9 @@
 		Entry: c.Name, Shards: shards{e.manager}, Fleet: workers{e.hub}, Document: e.follower.Document,
 		ShardOf: shard.ForTask, ShardCount: shard.Count, Logger: c.Logger, Seed: c.Seed,
 	})
+	if c.Recorder != nil {
+		e.hub.Register(recording{c.Recorder})
+	}
 	e.hub.Register(e.frontend)
 	e.hub.Register(controllerHandler{e.controller})
 	return nil
@@ -114,7 +118,7 @@
 	var err error
 	e.operator, err = operator.New(operator.Config{
 		Name: c.Name, Region: c.Region,
-		Tasks:         tasks{e.controller},
+		Tasks:         tasks{e.controller, c.Recorder},
 		Configuration: changes{e.follower},
 		Fleet:         operatorFleet{e.hub},
 		Entries:       directory{member: e.member, manager: e.manager},
--- /dev/null
+++ b/internal/entry/recording.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"clementineflow/internal/fleet"
+	"clementineflow/internal/frontend"
+	"clementineflow/internal/replay"
+	"clementineflow/internal/task"
+	"clementineflow/internal/wire"
+)
+
+// recordInterval is the time between looks at the workers, the configuration and the store.
+const recordInterval = time.Second
+
+// recording implements fleet.Handler by recording what the workers report. It is used only if the
+// settings name a trace.
+type recording struct {
+	recorder *replay.Recorder
+}
+
+// WorkerConnected implements fleet.Handler.
+func (r recording) WorkerConnected(view fleet.View) {
+	r.recorder.Record(replay.Line{WorkerJoined: &replay.WorkerJoined{
+		Name: view.Name, Zone: view.Zone, Rack: view.Rack, Boot: view.Session.BootID, Session: view.Session.Number,
+		Capacity: view.Capacity, Targets: recordedTargets(view.Targets),
+	}})
+}
+
+// WorkerDisconnected implements fleet.Handler.
+func (r recording) WorkerDisconnected(worker, _ string) {
+	r.recorder.Record(replay.Line{LinkLost: &replay.WorkerName{Name: worker}})
+}
+
+// RequestReply implements fleet.Handler.
+func (r recording) RequestReply(worker string, reply *wire.RequestReply) {
+	if recorded := replay.RecordedReply(worker, reply); recorded.Outcome != "" {
+		r.recorder.Record(replay.Line{Reply: recorded})
+	}
+}
+
+// QueryReply implements fleet.Handler.
+func (r recording) QueryReply(worker string, reply *wire.QueryReply) {
+	for index := range reply.Replies {
+		r.RequestReply(worker, &reply.Replies[index])
+	}
+}
+
+// TaskEvent implements fleet.Handler.
+func (r recording) TaskEvent(worker string, event *wire.TaskEvent) {
+	if recorded := replay.RecordedReport(worker, event); recorded.Event != "" {
+		r.recorder.Record(replay.Line{Report: recorded})
+	}
+}
+
+// Usage implements fleet.Handler.
+func (r recording) Usage(worker string, usage *wire.Usage) {
+	r.recorder.Record(replay.Line{Usage: replay.RecordedUsage(worker, usage)})
+}
+
+func recordedTargets(states []wire.TargetState) []replay.Target {
+	targets := make([]replay.Target, 0, len(states))
+	for _, state := range states {
+		targets = append(targets, replay.Target{
+			Service: state.Service, Slots: state.Slots, Connections: state.Connections,
+			SlotsUsed: state.SlotsUsed, Leaving: state.Leaving,
+		})
+	}
+	return targets
+}
+
+// arrived returns the function that records requests, or nil without a recorder.
+func (e *Entry) arrived() func(frontend.Arrival) {
+	if e.config.Recorder == nil {
+		return nil
+	}
+	return e.recordRequest
+}
+
+// recordRequest records a caller's request.
+func (e *Entry) recordRequest(arrival frontend.Arrival) {
+	e.config.Recorder.Record(replay.Line{Request: &replay.Request{
+		ID: arrival.ID, Service: arrival.Service, Team: arrival.Team, Caller: arrival.Caller,
+		Priority: arrival.Priority.String(), Timeout: replay.Duration(arrival.Timeout), Idempotent: arrival.Idempotent,
+	}})
+}
+
+// recordSubmission records a submitted specification. One that the format cannot hold is left out: the
+// decoder would refuse the whole trace.
+func (t tasks) recordSubmission(spec *task.Spec) {
+	if t.recorder != nil && (spec.Kind == task.KindBatch || spec.Kind == task.KindWatch) && spec.Size.Validate() == nil {
+		t.recorder.Record(replay.Line{Submit: replay.RecordedSubmission(spec)})
+	}
+}
+
+// record records heartbeats, and changes of the configuration and of the store, until the context ends.
+func (e *Entry) record(ctx context.Context) error {
+	ticker := time.NewTicker(recordInterval)
+	defer ticker.Stop()
+	revision, up := uint64(0), true
+	for {
+		if document := e.follower.Document(); document != nil && document.Revision != revision {
+			revision = document.Revision
+			e.config.Recorder.Record(replay.Line{Configuration: document})
+		}
+		if reachable := e.member.StoreReachable(); reachable != up {
+			up = reachable
+			e.config.Recorder.Record(replay.Line{Store: &replay.Store{Up: up}})
+		}
+		for _, view := range e.hub.Views() {
+			if view.Connected {
+				e.config.Recorder.Record(replay.Line{Heartbeat: &replay.Heartbeat{
+					Worker: view.Name, Free: view.Free, Targets: recordedTargets(view.Targets), Leaving: view.Leaving,
+				}})
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -78,6 +78,10 @@
 	start(duties, fail, e.follower.Run)
 	start(duties, fail, e.member.Run)
 	start(duties, fail, e.hub.Run)
+	if e.config.Recorder != nil {
+		start(duties, fail, e.config.Recorder.Run)
+		start(duties, fail, e.record)
+	}
 	start(duties, fail, func(ctx context.Context) error {
 		return serveUntilDone(ctx, func() error { return e.links.Serve(open.links, e.config.serverTLS()) }, e.links.Shutdown)
 	})
--- a/internal/entry/tasks.go
+++ b/internal/entry/tasks.go
@@ -8,6 +8,7 @@
 
 	"clementineflow/internal/controller"
 	"clementineflow/internal/operator"
+	"clementineflow/internal/replay"
 	"clementineflow/internal/scheduler"
 	"clementineflow/internal/task"
 )
@@ -19,16 +20,19 @@
 // tasks implements operator.Tasks over the controller and translates its errors.
 type tasks struct {
 	controller *controller.Controller
+	recorder   *replay.Recorder
 }
 
 // Submit implements operator.Tasks.
 func (t tasks) Submit(ctx context.Context, requestID string, spec task.Spec) (task.Record, error) {
+	t.recordSubmission(&spec)
 	record, err := t.controller.Submit(ctx, requestID, spec)
 	return record, operatorError(err)
 }
 
 // Cancel implements operator.Tasks.
 func (t tasks) Cancel(ctx context.Context, requestID, taskID string) (task.Record, error) {
+	t.recorder.Record(replay.Line{Cancel: &replay.TaskName{Task: taskID}})
 	record, err := t.controller.Cancel(ctx, requestID, taskID)
 	return record, operatorError(err)
 }
--- /dev/null
+++ b/internal/frontend/arrival.go
@@ -0,0 +1,23 @@
+package frontend
+
+import (
+	"time"
+
+	"clementineflow/internal/task"
+)
+
+// Arrival describes a valid request of a caller, for recording.
+type Arrival struct {
+	// ID is the id on the wire.
+	ID, Service, Team, Caller string
+	Priority                  task.Priority
+	Timeout                   time.Duration
+	Idempotent                bool
+}
+
+func arrivalOf(s *submission, key flightKey, timeout time.Duration) Arrival {
+	return Arrival{
+		ID: key.wireID(), Service: s.request.Service, Team: key.team, Caller: s.caller,
+		Priority: s.control.priority, Timeout: timeout, Idempotent: s.control.idempotent,
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -40,6 +40,8 @@
 	Logger   *log.Logger
 	// Seed is the seed of routing's random choices.
 	Seed uint64
+	// Arrived is called for each valid request before the decision about it; it must not block. May be nil.
+	Arrived func(Arrival)
 }
 
 // Frontend holds the requests in progress at one entry. It implements fleet.Handler. Its methods are
@@ -187,6 +189,9 @@
 	}
 	key := flightKey{team: s.control.team, id: s.control.requestID}
 	digest := fingerprint(&s.request)
+	if f.config.Arrived != nil {
+		f.config.Arrived(arrivalOf(s, key, timeoutOf(s, &service)))
+	}
 
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/replay/decode.go
+++ b/internal/replay/decode.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementineflow/internal/configuration"
 	"clementineflow/internal/resource"
 )
@@ -51,11 +53,13 @@
 			return nil, err
 		}
 	}
-	if errors := scanner.Err(); errors == bufio.ErrTooLong {
+	err := scanner.Err()
+	if errors.Is(err, bufio.ErrTooLong) {
 		d.number++
 		return nil, d.fail(ErrLimit, fmt.Sprintf("more than %d bytes", MaxLineBytes))
-	} else if errors != nil {
-		return nil, errors
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "trace")
 	}
 	if d.number == 0 {
 		d.number = 1
@@ -86,7 +90,7 @@
 	if err := strict.Decode(&line); err != nil {
 		return d.fail(ErrSyntax, err.Error())
 	}
-	if _, err := strict.Token(); err != io.EOF {
+	if _, err := strict.Token(); !errors.Is(err, io.EOF) {
 		return d.fail(ErrSyntax, "text after the object")
 	}
 	if count(line.bodies()) != 1 {
--- a/internal/replay/expectation.go
+++ b/internal/replay/expectation.go
@@ -25,7 +25,7 @@
 	To   Duration `json:"to,omitempty"`
 }
 
-// ExpectRunning: the task is running by the time, in the zone and on the worker if they are named.
+// ExpectRunning states: the task is running by the time, in the zone and on the worker if they are named.
 type ExpectRunning struct {
 	Task   string   `json:"task"`
 	Zone   string   `json:"zone,omitempty"`
@@ -33,39 +33,39 @@
 	By     Duration `json:"by"`
 }
 
-// ExpectState: the task has the state at the time.
+// ExpectState states: the task has the state at the time.
 type ExpectState struct {
 	Task  string   `json:"task"`
 	State string   `json:"state"`
 	By    Duration `json:"by"`
 }
 
-// ExpectCapacity: no worker holds more than its capacity by declared sizes, or by real use.
+// ExpectCapacity states: no worker holds more than its capacity by declared sizes, or by real use.
 type ExpectCapacity struct {
 	Window
 	RealUse bool `json:"real_use,omitempty"`
 }
 
-// ExpectNoStart: no task is assigned to or starts in the zone.
+// ExpectNoStart states: no task is assigned to or starts in the zone.
 type ExpectNoStart struct {
 	Window
 	Zone string `json:"zone"`
 }
 
-// ExpectEvictions: at most so many tasks are evicted.
+// ExpectEvictions states: at most so many tasks are evicted.
 type ExpectEvictions struct {
 	Window
 	AtMost int `json:"at_most"`
 }
 
-// ExpectRequest: the request has the outcome, and the reason if one is named.
+// ExpectRequest states: the request has the outcome, and the reason if one is named.
 type ExpectRequest struct {
 	ID      string `json:"id"`
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason,omitempty"`
 }
 
-// ExpectAnswered: of the requests that arrive in the window, at least the share is answered within
+// ExpectAnswered states: of the requests that arrive in the window, at least the share is answered within
 // the time.
 type ExpectAnswered struct {
 	Window
@@ -75,37 +75,37 @@
 	Within          Duration `json:"within"`
 }
 
-// ExpectFinished: at least so many tasks finish, of the team if one is named.
+// ExpectFinished states: at least so many tasks finish, of the team if one is named.
 type ExpectFinished struct {
 	Window
 	Team    string `json:"team,omitempty"`
 	AtLeast int    `json:"at_least"`
 }
 
-// ExpectUrgentStart: each urgent task that is accepted in the window starts within the time.
+// ExpectUrgentStart states: each urgent task that is accepted in the window starts within the time.
 type ExpectUrgentStart struct {
 	Window
 	Within Duration `json:"within"`
 }
 
-// ExpectFinal: every accepted batch task is final at the time.
+// ExpectFinal states: every accepted batch task is final at the time.
 type ExpectFinal struct {
 	By Duration `json:"by"`
 }
 
-// ExpectQuarantined: the worker is in quarantine by the time.
+// ExpectQuarantined states: the worker is in quarantine by the time.
 type ExpectQuarantined struct {
 	Worker string   `json:"worker"`
 	By     Duration `json:"by"`
 }
 
-// ExpectRefused: the specification is refused with a reason that contains the text.
+// ExpectRefused states: the specification is refused with a reason that contains the text.
 type ExpectRefused struct {
 	Task   string `json:"task"`
 	Reason string `json:"reason"`
 }
 
-// ExpectOnePlaceOnly: no task runs in two places at once, and none finishes twice.
+// ExpectOnePlaceOnly states: no task runs in two places at once, and none finishes twice.
 type ExpectOnePlaceOnly struct{}
 
 // kinds reports for each kind whether it is set.
--- a/internal/replay/tracegen/generator.go
+++ b/internal/replay/tracegen/generator.go
@@ -170,8 +170,8 @@
 	}})
 }
 
-func (g *generator) finished(name string, from, to time.Duration, atLeast int) {
-	g.state(name, replay.Expectation{Finished: &replay.ExpectFinished{Window: window(from, to), AtLeast: atLeast}})
+func (g *generator) finished(name string, to time.Duration, atLeast int) {
+	g.state(name, replay.Expectation{Finished: &replay.ExpectFinished{Window: window(0, to), AtLeast: atLeast}})
 }
 
 func (g *generator) final(by time.Duration) {
--- a/internal/replay/tracegen/scenarios.go
+++ b/internal/replay/tracegen/scenarios.go
@@ -35,7 +35,7 @@
 	g.answered("latency-critical requests keep their latency", 20*time.Second, 2*minute, g.objective, 990)
 	g.state("nothing is evicted while there is room", replay.Expectation{Evictions: &replay.ExpectEvictions{AtMost: 0}})
 	g.final(12 * minute)
-	g.finished("batch work completes", 0, 12*minute, g.jobs)
+	g.finished("batch work completes", 12*minute, g.jobs)
 	g.watchesRun(10 * time.Second)
 	g.watchesRun(12 * minute)
 }
@@ -56,7 +56,7 @@
 	g.answered("latency-critical requests keep their latency after 30 s of the wave", wave+30*time.Second, end, g.objective, 950)
 	g.answered("every request is answered", 20*time.Second, end, time.Second, 999)
 	g.final(15 * minute)
-	g.finished("throttled batch work completes", 0, 15*minute, g.jobs)
+	g.finished("throttled batch work completes", 15*minute, g.jobs)
 	g.watchesRun(15 * minute)
 }
 
@@ -78,7 +78,7 @@
 		Window: window(100*time.Second, 0), RealUse: true,
 	}})
 	g.final(20 * minute)
-	g.finished("batch work completes", 0, 20*minute, g.jobs)
+	g.finished("batch work completes", 20*minute, g.jobs)
 	g.answered("latency-critical requests keep their latency", 20*time.Second, minute, g.objective, 990)
 }
 
@@ -116,7 +116,7 @@
 	g.watchesRun(out + 30*time.Second)
 	g.watchesRun(end)
 	g.final(10 * minute)
-	g.finished("no work is lost", 0, 10*minute, g.jobs)
+	g.finished("no work is lost", 10*minute, g.jobs)
 }
 
 // faultyWorker lets one worker fail everything that it starts, then work again.
@@ -130,7 +130,7 @@
 		Worker: name, By: replay.Duration(2 * minute),
 	}})
 	g.final(10 * minute)
-	g.finished("work that failed on the worker completes elsewhere", 0, 10*minute, g.jobs)
+	g.finished("work that failed on the worker completes elsewhere", 10*minute, g.jobs)
 }
 
 // cancellationWave cancels most of a backlog at once, running and pending tasks alike.
@@ -151,7 +151,7 @@
 	}
 	g.urgentJobs(wave, 2*minute, 5*time.Second)
 	g.final(10 * minute)
-	g.finished("the other work completes", 0, 10*minute, g.jobs-cancelled)
+	g.finished("the other work completes", 10*minute, g.jobs-cancelled)
 	g.watchesRun(wave + 5*time.Second)
 }
 
@@ -180,7 +180,7 @@
 	g.steadyJobs(150, 5*time.Second, 4*minute, 20*time.Second, 60*time.Second)
 	g.urgentJobs(30*time.Second, 4*minute, 15*time.Second)
 	g.final(8 * minute)
-	g.finished("possible work completes", 0, 8*minute, g.jobs-refused-failing)
+	g.finished("possible work completes", 8*minute, g.jobs-refused-failing)
 }
 
 // storeOutage makes the store unreachable for five minutes.
@@ -210,5 +210,5 @@
 		Window: window(down, up), AtMost: 0,
 	}})
 	g.final(20 * minute)
-	g.finished("all accepted work completes", 0, 20*minute, accepted+g.jobs-refused)
+	g.finished("all accepted work completes", 20*minute, accepted+g.jobs-refused)
 }
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -29,8 +29,8 @@
 	teamUse  map[string]resource.Quantity
 	// teamEnding is the part of teamUse that ends with evictions and cancellations in progress.
 	teamEnding map[string]resource.Quantity
-	plan     Plan
-	scratch  []*node
+	plan       Plan
+	scratch    []*node
 	// placeless holds the shapes of tasks that found no worker in this plan.
 	placeless map[shape]tally
 }
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -29,6 +29,13 @@
 	allowedPlaintextFix = "a loopback address, tls, or allow_plaintext_on_all_interfaces: true"
 )
 
+// Sizes of a recorded trace in bytes. The largest is what a replay reads.
+const (
+	defaultTraceSize = 64e6
+	minTraceSize     = 1e6
+	maxTraceSize     = 128e6
+)
+
 // namePattern keeps names usable in metric labels, store keys and host names.
 var namePattern = regexp.MustCompile(`^[a-z]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
@@ -71,7 +78,7 @@
 		decodeAgent(root, s, plaintext)
 	default:
 		// The role decides which of these keys exist, so none of them is reported as unknown.
-		for _, name := range []string{"listen", "advertise", "store", "entries", "runtime", "worker"} {
+		for _, name := range []string{"listen", "advertise", "store", "entries", "runtime", "worker", "trace"} {
 			root.known[name] = true
 		}
 	}
@@ -114,6 +121,19 @@
 	return decoded
 }
 
+// decodeTrace decodes the place of a trace. A size without a file is a mistake.
+func decodeTrace(s *section) Trace {
+	decoded := Trace{
+		File:     s.text("file", optional, allowedFile),
+		MaxBytes: s.size("max_size", defaultTraceSize, minTraceSize, maxTraceSize),
+	}
+	if decoded.File == "" && s.has("max_size") {
+		s.missing("file", allowedFile)
+	}
+	s.finish()
+	return decoded
+}
+
 func decodeEntry(root *section, s *Settings, plaintext bool) {
 	listen := root.child("listen")
 	s.Listen = Listen{
@@ -135,6 +155,7 @@
 		Timeout: store.duration("timeout", defaultStoreTimeout, minStoreTimeout, maxStoreTimeout),
 	}
 	store.finish()
+	s.Trace = decodeTrace(root.child("trace"))
 	s.Entries = root.dialAddresses("entries", optional)
 }
 
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -19,7 +19,7 @@
 	known := map[string]bool{}
 	for _, role := range []string{"entry", "agent"} {
 		text := "role: " + role + "\nzzz: 1\n"
-		sections := []string{"listen", "advertise", "store", "runtime", "worker", "log", "tls"}
+		sections := []string{"listen", "advertise", "store", "runtime", "worker", "log", "tls", "trace"}
 		for _, name := range sections {
 			text += name + ": {zzz: 1}\n"
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,8 @@
 	Worker  Worker
 	Log     Log
 	TLS     TLS
+	// Trace names the file for a trace of an entry's inputs; entries only.
+	Trace Trace
 	// StopTimeout bounds a graceful stop; work in progress after it is cut off.
 	StopTimeout time.Duration
 	// AllowPlaintextOnAllInterfaces permits listening without TLS on addresses that are not loopback.
@@ -82,6 +84,14 @@
 	QueueLines int
 }
 
+// Trace says where an entry records its inputs.
+type Trace struct {
+	// File is empty if nothing is recorded.
+	File string
+	// MaxBytes is the largest size of the file.
+	MaxBytes int64
+}
+
 // TLS names PEM files; all three are set, or none.
 type TLS struct {
 	Certificate string
