Take over a learned configuration during a store outage in a replay

A trace recorded by an entry of a demo region began with the store not yet reached and the document in the same second; the replay refused the document as an operator's change, and then every submission. A configuration line is what the entry learned, so it is always taken over; a zone line stays an operator's change. The recorder writes the state of the store first.

--- a/internal/entry/recording.go
+++ b/internal/entry/recording.go
@@ -100,14 +100,14 @@
 	defer ticker.Stop()
 	revision, up := uint64(0), true
 	for {
-		if document := e.follower.Document(); document != nil && document.Revision != revision {
-			revision = document.Revision
-			e.config.Recorder.Record(replay.Line{Configuration: document})
-		}
 		if reachable := e.member.StoreReachable(); reachable != up {
 			up = reachable
 			e.config.Recorder.Record(replay.Line{Store: &replay.Store{Up: up}})
 		}
+		if document := e.follower.Document(); document != nil && document.Revision != revision {
+			revision = document.Revision
+			e.config.Recorder.Record(replay.Line{Configuration: document})
+		}
 		for _, view := range e.hub.Views() {
 			if view.Connected {
 				e.config.Recorder.Record(replay.Line{Heartbeat: &replay.Heartbeat{
--- a/internal/replay/replayer.go
+++ b/internal/replay/replayer.go
@@ -231,6 +231,10 @@
 	if r.document == nil {
 		return
 	}
+	if !r.storeUp {
+		r.decide("zone %s refused: unavailable", change.Name)
+		return
+	}
 	changed := *r.document
 	changed.Zones = slices.Clone(r.document.Zones)
 	changed.Revision++
@@ -243,11 +247,9 @@
 	r.changeConfiguration(&changed)
 }
 
+// changeConfiguration takes over a document that the entry learned, also from a peer during a store
+// outage, unless a higher revision is known.
 func (r *replayer) changeConfiguration(document *configuration.Document) {
-	if !r.storeUp {
-		r.decide("configuration revision=%d refused: unavailable", document.Revision)
-		return
-	}
 	if r.document != nil && document.Revision < r.document.Revision {
 		r.decide("configuration revision=%d ignored: known is %d", document.Revision, r.document.Revision)
 		return
--- a/internal/replay/trace_test.go
+++ b/internal/replay/trace_test.go
@@ -156,6 +156,22 @@
 	is.True(strings.Contains(string(result.Decisions), "report ignored task=batch/t/j attempt=1 event=finished"))
 }
 
+// TestConfigurationDuringOutage guards against a learned document that is dropped because the store is
+// down, as at the start of a recording, and against an operator's change that is accepted then.
+func TestConfigurationDuringOutage(t *testing.T) {
+	is := is.New(t)
+	learned := strings.Replace(strings.TrimSuffix(strings.TrimPrefix(header, `{"header":{"version":1,"seed":7,"region":"r","zone":"a",`), "}"), `"revision":1`, `"revision":2`, 1)
+	result := run(
+		t, `{"header":{"version":1,"seed":7,"region":"r","zone":"a"}}`, `{"store":{"up":false}}`, "{"+learned,
+		`{"zone":{"name":"a","in_service":false}}`, workerOne, `{"store":{"up":true}}`, job,
+		`{"expect":{"name":"n","running":{"task":"batch/t/j","zone":"a","by":"3s"}}}`,
+	)
+	if result.Failed != 0 {
+		t.Errorf("%s", result.Decisions)
+	}
+	is.True(strings.Contains(string(result.Decisions), "zone a refused: unavailable"))
+}
+
 // TestLostWorker guards against work that is lost, or runs twice, when a worker fails, loses its link for
 // longer than its lease or leaves, and against a request that is said not to have run although it may have.
 func TestLostWorker(t *testing.T) {
