--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -35,9 +35,9 @@
 
 	lowerDuties := e.startLower(lower, stopUpper, open)
 	middleDuties := e.startMiddle(middle, stopUpper, open)
-	served := e.serveCallers(upper, stopUpper, open.callers)
 	e.config.Logger.Info("entry started", "entry", e.config.Name, "callers", open.callers.Addr(),
 		"operators", open.operators.Addr(), "links", open.links.Addr())
+	served := e.serveCallers(upper, stopUpper, open.callers)
 
 	stopMiddle()
 	middleErr := middleDuties.Wait()
@@ -76,6 +76,10 @@
 func (e *Entry) startLower(ctx context.Context, fail func(), open *listeners) *pool.ContextPool {
 	duties := pool.New().WithContext(ctx)
 	e.startState(duties, fail)
+	if e.config.Recorder != nil {
+		start(duties, fail, e.config.Recorder.Run)
+		start(duties, fail, e.record)
+	}
 	start(duties, fail, func(ctx context.Context) error {
 		return serveUntilDone(ctx, func() error { return e.links.Serve(open.links, e.config.serverTLS()) }, e.links.Shutdown)
 	})
