Do not prefer a worker of the own zone whose neighbours slow it down

Cause: the noisy-wave traces showed an entry that sends all requests to the three workers of its own zone while two of them were slow; the own zone counted as overloaded by its load alone. Change: a worker above 1.25 times the service's median latency is not preferred for its zone. TestSlowOwnZone fails without the rule.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -13,6 +13,9 @@
 	SilentAfter = 2500 * time.Millisecond
 	// ownZoneLoad is the share of the own zone's slots in progress above which all zones are used.
 	ownZoneLoad = 0.8
+	// ownZoneSlow is the ratio to the service's median latency above which a worker is not preferred for
+	// being in the own zone: a slow neighbour costs more than the way to another zone.
+	ownZoneSlow = 1.25
 	// medianInterval bounds how old the cached median latency of a service is.
 	medianInterval = 100 * time.Millisecond
 )
@@ -219,6 +222,7 @@
 // collect fills the pools with the candidates.
 func (s *service) collect(now time.Time, zone string, tried []string, ignoreEjections bool, look *survey) {
 	s.pool, s.ownPool = s.pool[:0], s.ownPool[:0]
+	median := s.medianLatency(now)
 	var standing Exclusions
 	for _, t := range s.targets {
 		if !t.standing(now, &standing) {
@@ -233,13 +237,20 @@
 			look.excluded.Tried++
 		default:
 			s.pool = append(s.pool, t)
-			if t.zone == zone {
+			if t.zone == zone && !t.slow(now, median) {
 				s.ownPool = append(s.ownPool, t)
 			}
 		}
 	}
 }
 
+// slow reports whether the way to another zone may be worth it: the worker's latency is well above
+// the median over all zones.
+func (t *target) slow(now time.Time, median time.Duration) bool {
+	latency, ok := t.freshLatency(now)
+	return ok && median > 0 && float64(latency) > ownZoneSlow*float64(median)
+}
+
 // better draws two workers and returns the one with the lower cost. The second draw excludes the
 // first, so that two candidates are always compared.
 func (r *Router) better(now time.Time, s *service, pool []*target) *target {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -292,3 +292,27 @@
 	is.Equal(router.Pick(start, serviceName, nil).Reason, ReasonNoCandidate)
 	is.Equal(router.Pick(start, serviceName, []string{"w000"}).Excluded, Exclusions{Silent: 1, Full: 2})
 }
+
+// TestSlowOwnZone guards against a worker that gets requests because it is in the own zone although
+// its neighbours slow it down and another zone answers sooner.
+func TestSlowOwnZone(t *testing.T) {
+	is := is.New(t)
+	router := New("z0", 1)
+	workers := fleetOf(4, "z0", "z1")
+	router.Update(workers, allZones)
+	for _, worker := range workers {
+		latency := 10 * time.Millisecond
+		if worker.Name == "w000" {
+			latency = 25 * time.Millisecond
+		}
+		for range slowSamples {
+			router.Started(serviceName, worker.Name)
+			router.Finished(start, serviceName, worker.Name, ResultAnswered, latency)
+		}
+	}
+	now := start.Add(time.Second) // the median of the service is kept for a short time
+	for range 50 {
+		is.Equal(router.Pick(now, serviceName, nil).Worker, "w002") // the other one of the own zone
+	}
+	is.Equal(router.Pick(now, serviceName, []string{"w002"}).Reason, ReasonAllZones)
+}
