Complete the operators' calls on zones and services

Cause: zones could not be read one by one, watched or deleted, and services not watched, although the interface is meant to cover create, get, list, watch and removal for each; the changes of a document stood twice, in internal/configuration and in internal/operator. Change: GetZone, WatchZone, DeleteZone and WatchService with their subcommands; the error code zone_in_use; the operator's mutations call those of internal/configuration and translate their errors; the order of some imports. Conclusion: a zone has its whole lifecycle; the logic stands once.

--- a/cmd/clementinectl/commandline.go
+++ b/cmd/clementinectl/commandline.go
@@ -29,13 +29,17 @@
 	Create serviceCreateCommand `cmd:"" help:"Create a service."`
 	Get    serviceGetCommand    `cmd:"" help:"Show a service."`
 	List   serviceListCommand   `cmd:"" help:"List services."`
+	Watch  serviceWatchCommand  `cmd:"" help:"Show a service and each later change."`
 	Delete serviceDeleteCommand `cmd:"" help:"Delete a service."`
 }
 
 // zoneCommands groups the subcommands about availability zones.
 type zoneCommands struct {
 	Create zoneCreateCommand `cmd:"" help:"Create an availability zone."`
+	Get    zoneGetCommand    `cmd:"" help:"Show an availability zone and what runs there."`
 	List   zoneListCommand   `cmd:"" help:"List availability zones and what runs there."`
+	Watch  zoneWatchCommand  `cmd:"" help:"Show a zone and each later change."`
+	Delete zoneDeleteCommand `cmd:"" help:"Delete a zone that is out of service and has no workers."`
 	Out    zoneOutCommand    `cmd:"" help:"Take an availability zone out of service."`
 	In     zoneInCommand     `cmd:"" help:"Bring an availability zone back into service."`
 }
--- a/cmd/clementinectl/exit.go
+++ b/cmd/clementinectl/exit.go
@@ -6,10 +6,10 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/pkg/errors"
+
 	"clementineflow/internal/operator"
 	"clementineflow/internal/settings"
-
-	"github.com/pkg/errors"
 )
 
 // Exit codes.
--- a/cmd/clementinectl/follow.go
+++ b/cmd/clementinectl/follow.go
@@ -7,9 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	operatorv1 "clementineflow/api/operator/v1"
-
 	"github.com/pkg/errors"
+
+	operatorv1 "clementineflow/api/operator/v1"
 )
 
 func isFinal(state operatorv1.TaskState) bool {
--- a/cmd/clementinectl/run.go
+++ b/cmd/clementinectl/run.go
@@ -6,7 +6,6 @@
 	"io"
 
 	"github.com/alecthomas/kong"
-
 	"github.com/pkg/errors"
 )
 
--- a/cmd/clementinectl/wait.go
+++ b/cmd/clementinectl/wait.go
@@ -9,9 +9,9 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	operatorv1 "clementineflow/api/operator/v1"
-
 	"github.com/pkg/errors"
+
+	operatorv1 "clementineflow/api/operator/v1"
 )
 
 // pollInterval is the time between two reads while waiting; a revision is in force within seconds.
--- a/internal/configuration/errors.go
+++ b/internal/configuration/errors.go
@@ -43,6 +43,8 @@
 	ErrUnknownTeam = errors.New("unknown team")
 	// ErrUnknownZone reports a reference to an availability zone that does not exist.
 	ErrUnknownZone = errors.New("unknown availability zone")
+	// ErrInService reports a deletion of an availability zone that is in service.
+	ErrInService = errors.New("availability zone is in service")
 	// ErrUnknownService reports a reference to a service that does not exist.
 	ErrUnknownService = errors.New("unknown service")
 	// ErrNegative reports a number, size or duration below its least value.
--- a/internal/configuration/mutation.go
+++ b/internal/configuration/mutation.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// DeleteZone removes a zone, or returns ErrUnknownZone, or ErrInService if it is not out of service.
+func DeleteZone(name string) Mutation {
+	return func(document *Document) error {
+		zone, exists := document.Zone(name)
+		if !exists {
+			return fault("zones["+name+"]", ErrUnknownZone)
+		}
+		if !zone.OutOfService {
+			return fault("zones["+name+"]", ErrInService)
+		}
+		document.Zones = slices.DeleteFunc(document.Zones, func(zone Zone) bool { return zone.Name == name })
+		return nil
+	}
+}
+
 // CreateService adds a service, or returns ErrDuplicate or ErrUnknownTeam.
 func CreateService(service Service) Mutation {
 	return func(document *Document) error {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -7,14 +7,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"clementineflow/internal/configuration"
 	"clementineflow/internal/resource"
 	"clementineflow/internal/scheduler"
 	"clementineflow/internal/task"
 	"clementineflow/internal/wire"
-
-	"github.com/pkg/errors"
 )
 
 // TestCommitBeforeStart guards against a Start for an assignment that is not durable, and against
--- a/internal/operator/code.go
+++ b/internal/operator/code.go
@@ -20,6 +20,7 @@
 	CodeTaskExists           Code = "task_exists"
 	CodeServiceExists        Code = "service_exists"
 	CodeZoneExists           Code = "zone_exists"
+	CodeZoneInUse            Code = "zone_in_use"
 	CodeConflict             Code = "conflict"
 	CodeTaskEnded            Code = "task_ended"
 	CodeNoConfiguration      Code = "no_configuration"
@@ -52,6 +53,7 @@
 	CodeConflict:             codes.Aborted,
 	CodeTaskEnded:            codes.FailedPrecondition,
 	CodeNoConfiguration:      codes.FailedPrecondition,
+	CodeZoneInUse:            codes.FailedPrecondition,
 	CodeRegionMismatch:       codes.FailedPrecondition,
 	CodeQuotaExceeded:        codes.ResourceExhausted,
 	CodeShardFull:            codes.ResourceExhausted,
--- a/internal/operator/document_mutations.go
+++ b/internal/operator/document_mutations.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"clementineflow/internal/configuration"
 )
 
@@ -21,64 +24,54 @@
 
 // CreateZone adds a zone.
 func (DocumentMutations) CreateZone(zone configuration.Zone) Mutation {
-	return func(d *configuration.Document) error {
-		if err := requireDocument(d); err != nil {
-			return err
-		}
-		if _, exists := d.Zone(zone.Name); exists {
-			return Errorf(CodeZoneExists, "zone %q exists", zone.Name)
-		}
-		d.Zones = append(slices.Clone(d.Zones), zone)
-		return nil
-	}
+	return translate(configuration.CreateZone(zone), CodeZoneExists, "zone %q", zone.Name)
 }
 
 // SetZoneService takes a zone out of service or brings it back.
 func (DocumentMutations) SetZoneService(name string, outOfService bool, reason string) Mutation {
-	return func(d *configuration.Document) error {
-		if err := requireDocument(d); err != nil {
-			return err
-		}
-		index := slices.IndexFunc(d.Zones, func(z configuration.Zone) bool { return z.Name == name })
-		if index < 0 {
-			return Errorf(CodeZoneNotFound, "zone %q does not exist", name)
-		}
-		d.Zones = slices.Clone(d.Zones)
-		d.Zones[index].OutOfService = outOfService
-		d.Zones[index].Reason = reason
-		return nil
-	}
+	return translate(configuration.SetZoneService(name, outOfService, reason), CodeZoneExists, "zone %q", name)
+}
+
+// DeleteZone removes a zone that is out of service.
+func (DocumentMutations) DeleteZone(name string) Mutation {
+	return translate(configuration.DeleteZone(name), CodeZoneExists, "zone %q", name)
 }
 
 // CreateService adds a service of an existing team.
 func (DocumentMutations) CreateService(service configuration.Service) Mutation {
-	return func(d *configuration.Document) error {
-		if err := requireDocument(d); err != nil {
-			return err
-		}
-		if _, exists := d.Service(service.Name); exists {
-			return Errorf(CodeServiceExists, "service %q exists", service.Name)
-		}
-		if _, ok := d.Team(service.Team); !ok {
-			return Errorf(CodeUnknownTeam, "team %q does not exist", service.Team)
-		}
-		d.Services = append(slices.Clone(d.Services), service)
-		return nil
-	}
+	return translate(configuration.CreateService(service), CodeServiceExists, "service %q", service.Name)
 }
 
 // DeleteService removes a service.
 func (DocumentMutations) DeleteService(name string) Mutation {
+	return translate(configuration.DeleteService(name), CodeServiceExists, "service %q", name)
+}
+
+// translate turns the errors of a mutation into errors of this interface; exists is the code for a
+// name that is taken. The subject names what is changed.
+func translate(mutation configuration.Mutation, exists Code, subject string, name string) Mutation {
 	return func(d *configuration.Document) error {
 		if err := requireDocument(d); err != nil {
 			return err
 		}
-		index := slices.IndexFunc(d.Services, func(s configuration.Service) bool { return s.Name == name })
-		if index < 0 {
-			return Errorf(CodeServiceNotFound, "service %q does not exist", name)
+		err := mutation(d)
+		subject := fmt.Sprintf(subject, name)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, configuration.ErrDuplicate):
+			return Errorf(exists, "%s exists", subject)
+		case errors.Is(err, configuration.ErrUnknownTeam):
+			return Errorf(CodeUnknownTeam, "the team of %s does not exist", subject)
+		case errors.Is(err, configuration.ErrUnknownZone):
+			return Errorf(CodeZoneNotFound, "%s does not exist", subject)
+		case errors.Is(err, configuration.ErrUnknownService):
+			return Errorf(CodeServiceNotFound, "%s does not exist", subject)
+		case errors.Is(err, configuration.ErrInService):
+			return Errorf(CodeZoneInUse, "%s is in service; take it out of service first", subject)
+		default:
+			return Errorf(CodeInvalidSpecification, "%s: %s", subject, err.Error())
 		}
-		d.Services = slices.Delete(slices.Clone(d.Services), index, index+1)
-		return nil
 	}
 }
 
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -8,9 +8,9 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	operatorv1 "clementineflow/api/operator/v1"
-
 	"github.com/pkg/errors"
+
+	operatorv1 "clementineflow/api/operator/v1"
 )
 
 // Times after which a retry may succeed.
--- a/internal/operator/fakes_test.go
+++ b/internal/operator/fakes_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
@@ -19,8 +20,6 @@
 	"clementineflow/internal/configuration"
 	"clementineflow/internal/task"
 	"clementineflow/internal/wire"
-
-	"github.com/pkg/errors"
 )
 
 // fakeTasks holds tasks in memory. If owner is set, another entry owns every task.
@@ -141,11 +140,23 @@
 }
 
 type fakeFleet struct {
+	mu    sync.Mutex
 	views []WorkerView
 	peers map[string]uint64
 }
 
-func (f *fakeFleet) Views() []WorkerView              { return f.views }
+func (f *fakeFleet) Views() []WorkerView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.views
+}
+
+func (f *fakeFleet) setViews(views ...WorkerView) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.views = views
+}
+
 func (f *fakeFleet) PeerRevisions() map[string]uint64 { return f.peers }
 
 type fakeEntries struct {
--- a/internal/operator/forward.go
+++ b/internal/operator/forward.go
@@ -4,12 +4,11 @@
 	"context"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	operatorv1 "clementineflow/api/operator/v1"
-
-	"github.com/pkg/errors"
 )
 
 // ForwardedMetadata marks a call that another entry forwarded; it is not forwarded again.
--- a/internal/operator/mutations.go
+++ b/internal/operator/mutations.go
@@ -10,6 +10,7 @@
 type Mutations interface {
 	CreateZone(zone configuration.Zone) Mutation
 	SetZoneService(name string, outOfService bool, reason string) Mutation
+	DeleteZone(name string) Mutation
 	CreateService(service configuration.Service) Mutation
 	DeleteService(name string) Mutation
 	// Replace replaces everything that operators set. It fails with CodeConflict unless the revision
--- a/internal/operator/server_services.go
+++ b/internal/operator/server_services.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/grpc"
+
 	operatorv1 "clementineflow/api/operator/v1"
 	"clementineflow/internal/configuration"
 )
@@ -65,6 +67,12 @@
 	return ServiceToMessage(service), nil
 }
 
+// WatchService sends the service and each later change.
+func (s *Server) WatchService(request *operatorv1.GetServiceRequest, stream grpc.ServerStreamingServer[operatorv1.Service]) error {
+	err := watchChanges(s, stream, func() (*operatorv1.Service, error) { return s.getService(request.GetName()) })
+	return s.result("WatchService", err, reads)
+}
+
 // ListServices returns one page of the services in the order of their names.
 func (s *Server) ListServices(_ context.Context, request *operatorv1.ListServicesRequest) (*operatorv1.ListServicesResponse, error) {
 	response, err := s.listServices(request)
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -22,8 +23,6 @@
 	"clementineflow/internal/resource"
 	"clementineflow/internal/task"
 	"clementineflow/internal/wire"
-
-	"github.com/pkg/errors"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -63,6 +62,10 @@
 				_, err := f.client.CreateZone(ctx, &operatorv1.CreateZoneRequest{RequestId: id, Zone: &operatorv1.Zone{Name: "z"}})
 				return err
 			},
+			"delete zone": func() error {
+				_, err := f.client.DeleteZone(ctx, &operatorv1.DeleteZoneRequest{RequestId: id, Name: "curepipe"})
+				return err
+			},
 			"set zone": func() error {
 				_, err := f.client.SetZoneService(ctx, &operatorv1.SetZoneServiceRequest{RequestId: id, Name: "curepipe"})
 				return err
@@ -305,6 +308,42 @@
 	wantCode(t, err, CodeUnavailable)
 }
 
+// TestZoneLifecycle guards against a zone that is deleted while it is in service or has workers, and
+// against watches that miss a change or outlive their zone.
+func TestZoneLifecycle(t *testing.T) {
+	is := is.New(t)
+	f := network{}.start(t, "a", &fakeTasks{})
+	stream, err := f.client.WatchZone(t.Context(), &operatorv1.GetZoneRequest{Name: "curepipe"})
+	is.NoErr(err)
+	first, err := stream.Recv()
+	is.NoErr(err)
+	is.True(!first.GetZone().GetOutOfService())
+
+	remove := func(id string) error {
+		_, err := f.client.DeleteZone(t.Context(), &operatorv1.DeleteZoneRequest{RequestId: id, Name: "curepipe"})
+		return err
+	}
+	wantCode(t, remove("in-service"), CodeZoneInUse)
+	_, err = f.client.SetZoneService(t.Context(), &operatorv1.SetZoneServiceRequest{
+		RequestId: "out", Name: "curepipe", OutOfService: true,
+	})
+	is.NoErr(err)
+	second, err := stream.Recv()
+	is.NoErr(err)
+	is.True(second.GetZone().GetOutOfService())
+
+	f.fleet.setViews(WorkerView{Name: "w", Zone: "curepipe", Connected: true})
+	wantCode(t, remove("has-worker"), CodeZoneInUse)
+	f.fleet.setViews()
+	is.NoErr(remove("gone"))
+	for err == nil { // the worker's arrival and departure may be seen as changes
+		_, err = stream.Recv()
+	}
+	wantCode(t, err, CodeZoneNotFound)
+	_, err = f.client.GetZone(t.Context(), &operatorv1.GetZoneRequest{Name: "curepipe"})
+	wantCode(t, err, CodeZoneNotFound)
+}
+
 // TestPanic guards against a call that ends the process.
 func TestPanic(t *testing.T) {
 	f := network{}.start(t, "a", nil) // methods of the nil fake panic
--- a/internal/operator/server_watch.go
+++ b/internal/operator/server_watch.go
@@ -6,9 +6,9 @@
 
 	"google.golang.org/grpc"
 
-	operatorv1 "clementineflow/api/operator/v1"
-
 	"github.com/pkg/errors"
+
+	operatorv1 "clementineflow/api/operator/v1"
 )
 
 // WatchTask sends the task and each later change, and ends after a final state.
--- a/internal/operator/server_zones.go
+++ b/internal/operator/server_zones.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/grpc"
+
 	operatorv1 "clementineflow/api/operator/v1"
 	"clementineflow/internal/configuration"
 )
@@ -59,6 +61,53 @@
 	})
 }
 
+// DeleteZone removes an availability zone that is out of service and has no workers.
+func (s *Server) DeleteZone(ctx context.Context, request *operatorv1.DeleteZoneRequest) (*operatorv1.ChangeResponse, error) {
+	response, err := s.deleteZone(ctx, request)
+	s.logChange(ctx, "delete zone", request.GetRequestId(), request.GetName(), err)
+	return response, s.result("DeleteZone", err, changes)
+}
+
+func (s *Server) deleteZone(ctx context.Context, request *operatorv1.DeleteZoneRequest) (*operatorv1.ChangeResponse, error) {
+	err := firstError(validateRequestID(request.GetRequestId()), validateName("name", request.GetName()))
+	if err != nil {
+		return nil, err
+	}
+	zone := configuration.Zone{Name: request.GetName()}
+	if workers := zoneStatus(zone, s.config.Fleet.Views()).GetWorkers(); workers > 0 {
+		return nil, Errorf(CodeZoneInUse, "zone %q has %d workers", zone.Name, workers)
+	}
+	return s.apply(ctx, change{
+		requestID: request.GetRequestId(),
+		summary:   "delete zone " + zone.Name,
+		mutation:  s.config.Mutations.DeleteZone(zone.Name),
+	})
+}
+
+// GetZone returns a zone with what runs there.
+func (s *Server) GetZone(_ context.Context, request *operatorv1.GetZoneRequest) (*operatorv1.ZoneStatus, error) {
+	response, err := s.getZone(request.GetName())
+	return response, s.result("GetZone", err, reads)
+}
+
+func (s *Server) getZone(name string) (*operatorv1.ZoneStatus, error) {
+	document, err := s.document()
+	if err != nil {
+		return nil, err
+	}
+	zone, ok := document.Zone(name)
+	if !ok {
+		return nil, Errorf(CodeZoneNotFound, "zone %q does not exist", name)
+	}
+	return zoneStatus(zone, s.config.Fleet.Views()), nil
+}
+
+// WatchZone sends the zone and each later change of it or of what runs there.
+func (s *Server) WatchZone(request *operatorv1.GetZoneRequest, stream grpc.ServerStreamingServer[operatorv1.ZoneStatus]) error {
+	err := watchChanges(s, stream, func() (*operatorv1.ZoneStatus, error) { return s.getZone(request.GetName()) })
+	return s.result("WatchZone", err, reads)
+}
+
 // ListZones returns one page of the zones, in the order of their names, with what runs there.
 func (s *Server) ListZones(_ context.Context, request *operatorv1.ListZonesRequest) (*operatorv1.ListZonesResponse, error) {
 	response, err := s.listZones(request)
--- a/internal/settings/decode_test.go
+++ b/internal/settings/decode_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/matryer/is"
-
 	"github.com/pkg/errors"
 )
 
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -6,7 +6,6 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
-
 	"github.com/pkg/errors"
 )
 
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -9,7 +9,6 @@
 	"testing"
 
 	"github.com/matryer/is"
-
 	"github.com/pkg/errors"
 )
 
--- a/internal/task/transition_test.go
+++ b/internal/task/transition_test.go
@@ -6,11 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
 	"clementineflow/internal/resource"
-
-	"github.com/pkg/errors"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
