--- a/internal/shard/document.go
+++ b/internal/shard/document.go
@@ -8,9 +8,11 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"clementineflow/internal/membership"
 	"clementineflow/internal/task"
+	"clementineflow/internal/wire"
 )
 
 // Count is the number of shards of a region. It is a power of two and fixed when a region is created.
@@ -50,6 +52,21 @@
 	return "clementine/" + region + "/shards/" + strconv.Itoa(int(id))
 }
 
+// decodeDocument returns the document of a stored value, or wire.ErrMalformed. A task id without a
+// record is malformed.
+func decodeDocument(data []byte) (*Document, error) {
+	document, err := wire.Unmarshal[Document](data)
+	if err != nil {
+		return nil, err
+	}
+	for id, record := range document.Tasks {
+		if record == nil {
+			return nil, errors.Wrapf(wire.ErrMalformed, "task %q has no record", id)
+		}
+	}
+	return document, nil
+}
+
 // Clone returns a deep copy.
 func (d *Document) Clone() *Document {
 	next := *d
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -11,7 +11,6 @@
 	"clementineflow/internal/membership"
 	"clementineflow/internal/notify"
 	"clementineflow/internal/store"
-	"clementineflow/internal/wire"
 )
 
 // Members is the part of membership.Member that the manager uses.
@@ -140,7 +139,7 @@
 	if err != nil {
 		return nil, 0, errors.WithMessage(ErrUnavailable, err.Error())
 	}
-	document, err := wire.Unmarshal[Document](value.Value)
+	document, err := decodeDocument(value.Value)
 	if err != nil {
 		m.config.Logger.Error("malformed shard document", "shard", id, "error", err)
 		return nil, 0, errors.WithMessage(err, "shard")
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -408,7 +408,7 @@
 			if err != nil {
 				return
 			}
-			next, err := wire.Unmarshal[Document](event.Value)
+			next, err := decodeDocument(event.Value)
 			if err != nil {
 				t.Errorf("seed %d: %v", seed, err)
 				return
