--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUF       := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
 HANDMADE  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity experiment
+.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity experiment failures
 
 ## build: compiles the programs into bin/
 build:
@@ -53,3 +53,7 @@
 ## experiment: compares the decisions with plain ones in virtual time (see docs/policy.md)
 experiment: build
 	bin/clementine-standin experiment
+
+## failures: measures what callers see during one failure at a time
+failures: build
+	scripts/failures.sh
