Send no request to a worker that has announced its stop; one watch loop for both followers

The log shows the agent's planned stop begin at 43.950, complete 0.4 ms later, and the entry route the request to it at 43.990: routing's view is up to 50 ms old, and the agent did not answer any more. Ruled out: a lost reply; the request was never seen by a target. Change: the hub refuses a request to a worker whose announcement it has seen, which is before it acknowledges it; a drained agent refuses requests for 200 ms more. Conclusion: the window found in the log is closed.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -111,7 +111,9 @@
 	leaving    bool
 	drainedAt  time.Time
 	drainMarks map[linkID]uint64
-	exited     bool
+	// lingerUntil is when a drained agent exits; zero before it is drained.
+	lingerUntil time.Time
+	exited      bool
 }
 
 // newCore returns the core of an agent that knows nothing yet.
--- a/internal/agent/core_leave.go
+++ b/internal/agent/core_leave.go
@@ -13,6 +13,9 @@
 	leavingReason = "planned stop"
 	// drainFlushTime bounds the wait for the entries to acknowledge that they have all replies.
 	drainFlushTime = 3 * time.Second
+	// stopLinger is how long a drained agent still refuses requests, in case an entry was sending one
+	// while it acknowledged the stop. Without an answer such a request would be unknown to its caller.
+	stopLinger = 200 * time.Millisecond
 )
 
 // onStopRequested begins the planned stop: nothing new is accepted and requests in progress are
@@ -37,7 +40,7 @@
 // keeps the order of messages.
 func (c *core) finishDrain() {
 	if !c.leaving || c.exited || c.busy() {
-		c.drainMarks = nil
+		c.drainMarks, c.lingerUntil = nil, time.Time{}
 		return
 	}
 	if c.drainMarks == nil {
@@ -53,6 +56,12 @@
 	if !c.flushed() && !c.due(c.drainedAt, drainFlushTime) {
 		return
 	}
+	if c.lingerUntil.IsZero() {
+		c.lingerUntil = c.now.Add(stopLinger)
+	}
+	if c.now.Before(c.lingerUntil) {
+		return
+	}
 	c.exited = true
 	c.report(log.InfoLevel, "", "planned stop is complete")
 	c.do(exit{})
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -20,8 +20,6 @@
 	ConfirmInterval = time.Second
 	// callTimeout bounds one store call.
 	callTimeout = 500 * time.Millisecond
-	// rewatchDelay is the wait before an ended watch is opened again.
-	rewatchDelay = 500 * time.Millisecond
 	// retryDelay is the wait before an unanswered write is resolved again.
 	retryDelay = 50 * time.Millisecond
 )
@@ -109,37 +107,25 @@
 	}
 }
 
-// watch adopts changes as they happen and opens the watch again when it ends.
+// watch adopts changes as they happen.
 func (f *Follower) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		f.follow(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(rewatchDelay):
-		}
-	}
+	store.Follow(ctx, f.config.Store, f.key, f.seen, f.apply)
 }
 
-func (f *Follower) follow(ctx context.Context) {
+// seen returns the highest store revision known, from which a new watch continues.
+func (f *Follower) seen() store.Revision {
 	f.mu.Lock()
-	after := f.revision
-	f.mu.Unlock()
-	watcher, err := f.config.Store.Watch(ctx, f.key, after)
-	if err != nil {
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// apply adopts the document of an event.
+func (f *Follower) apply(event store.Event) {
+	if event.Key != f.key || event.Deleted {
 		return
 	}
-	defer watcher.Close()
-	for {
-		event, err := watcher.Next(ctx)
-		if err != nil {
-			return
-		}
-		if event.Key != f.key || event.Deleted {
-			continue
-		}
-		if document, err := f.decode(event.KeyValue); err == nil {
-			f.adopt(document, event.Revision)
-		}
+	if document, err := f.decode(event.KeyValue); err == nil {
+		f.adopt(document, event.Revision)
 	}
 }
 
--- a/internal/fleet/contract.go
+++ b/internal/fleet/contract.go
@@ -17,6 +17,8 @@
 	ErrNotConnected = errors.New("fleet: worker is not connected")
 	// ErrIncarnation reports a message meant for another incarnation; it was certainly not sent.
 	ErrIncarnation = errors.New("fleet: worker has another incarnation")
+	// ErrLeaving reports a request to a worker that has announced its stop; it was certainly not sent.
+	ErrLeaving = errors.New("fleet: worker is leaving")
 	// ErrConfig reports a Config that lacks a required field.
 	ErrConfig = errors.New("fleet: incomplete configuration")
 )
--- a/internal/fleet/hub.go
+++ b/internal/fleet/hub.go
@@ -198,8 +198,13 @@
 		h.mutex.Unlock()
 		return ErrNotConnected
 	}
-	conn := w.link
+	conn, leaving := w.link, w.view.Leaving
 	h.mutex.Unlock()
+	// Routing's view is up to 50 ms old. An agent that stops exits soon after its announcement is
+	// acknowledged, so nothing may be sent on the old view.
+	if _, request := message.(*wire.Request); request && leaving {
+		return ErrLeaving
+	}
 	if incarnation != "" && conn.incarnation != incarnation {
 		return ErrIncarnation
 	}
--- a/internal/fleet/hub_test.go
+++ b/internal/fleet/hub_test.go
@@ -276,6 +276,21 @@
 	})
 }
 
+// TestLeavingWorker guards against a request on a view that is older than the worker's announcement of
+// its stop: the agent exits after the acknowledgement, and the request's outcome would be unknown.
+func TestLeavingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, "a")
+		defer w.stop()
+		agent := w.agent("a", "i1", "b1", 1)
+		is.NoErr(w.network.hubs["a"].SendIncarnation("w", "i1", &wire.Request{ID: "before"}))
+		agent.beat(&wire.Heartbeat{Leaving: true})
+		is.Equal(w.network.hubs["a"].SendIncarnation("w", "i1", &wire.Request{ID: "after"}), ErrLeaving)
+		is.NoErr(w.network.hubs["a"].SendIncarnation("w", "i1", &wire.Query{}))
+	})
+}
+
 // TestReplacedLink guards against a disconnect reported while a newer link works, and against an older
 // incarnation that replaces a newer one.
 func TestReplacedLink(t *testing.T) {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -29,8 +29,6 @@
 	callTimeout = 500 * time.Millisecond
 	// releaseTimeout bounds the release of the registration on a planned stop.
 	releaseTimeout = time.Second
-	// rewatchDelay is the wait before an ended watch is opened again.
-	rewatchDelay = 500 * time.Millisecond
 )
 
 // UnknownEntry stands in ExpiredWithin for entries whose names are not known.
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -8,30 +8,9 @@
 	"clementineflow/internal/wire"
 )
 
-// watch follows the registrations and opens the watch again when it ends.
+// watch follows the registrations.
 func (m *Member) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		m.follow(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(rewatchDelay):
-		}
-	}
-}
-
-func (m *Member) follow(ctx context.Context) {
-	watcher, err := m.config.Store.Watch(ctx, m.prefix, m.seen())
-	if err != nil {
-		return
-	}
-	defer watcher.Close()
-	for {
-		event, err := watcher.Next(ctx)
-		if err != nil {
-			return
-		}
-		m.apply(event)
-	}
+	store.Follow(ctx, m.config.Store, m.prefix, m.seen, m.apply)
 }
 
 // seen returns the highest revision known, from which a new watch continues.
