Put the agent's stop timeout in force; its default cuts off no request

Cause: stop_timeout was parsed for agents and had no effect. Its default of 30 s, in force for entries, is below the longest deadline of a request (10 minutes), so that a planned stop could cut one off. Change: runUntilStopped; the default is 10 minutes, a stop still ends as soon as nothing is in progress. Conclusion: the default keeps the promise, a lower value is the operator's choice.

--- a/cmd/clementined/agent.go
+++ b/cmd/clementined/agent.go
@@ -34,7 +34,9 @@
 		return err
 	}
 	return p.run(ctx, func(ctx context.Context) error {
-		return runAgent(ctx, p, daemon)
+		return runUntilStopped(ctx, p.settings.StopTimeout, func(ctx context.Context) error {
+			return runAgent(ctx, p, daemon)
+		})
 	})
 }
 
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -11,7 +11,7 @@
 	minStoreTimeout     = 50 * time.Millisecond
 	// maxStoreTimeout is the registration's TTL: a longer call could not confirm anything.
 	maxStoreTimeout     = 3 * time.Second
-	defaultStopTimeout  = 30 * time.Second
+	defaultStopTimeout  = 10 * time.Minute
 	minStopTimeout      = time.Second
 	maxStopTimeout      = 10 * time.Minute
 	defaultLogQueue     = 4096
