Record what callers see during each failure

Cause: the outcomes under failures were asserted and not measured in one run. Ruled out: the first run of the script: it counted requests sent before an entry had targets (293 not run), hit workers of a zone that got no requests, and printed wrong names because a function changed the caller's variable.

--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures what callers see without a failure and during one failure at a time: answered, "not run",
 # unknown, and the longest time between two answers. Requests are non-idempotent; the load goes to all
-# entries, as from a balancer that does not notice a failure. Takes about three minutes.
+# entries, as from a balancer that does not notice a failure, and the failures hit the zone of the entries,
+# which gets the requests. Takes about three minutes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/cluster.sh
@@ -23,24 +24,29 @@
 
 live_workers_are() { [ "$(ctl workers | grep -c live)" = "$1" ]; }
 entries_are() { [ "$(ctl entries | grep -c true)" = "$1" ]; }
-settled() { live_workers_are 4 && entries_are 3; }
+# answers INDEX succeeds if an entry answers a request.
+answers() { "$BIN/clementine-standin" request "$(request_url "$1" intake)"; }
+settled() { live_workers_are 4 && entries_are 3 && answers 1 && answers 2 && answers 3; }
 
 # kill_hard NAME... ends processes without notice.
-kill_hard() { for name in "$@"; do kill -9 "${PID[$name]}"; done; }
+kill_hard() {
+  local each
+  for each in "$@"; do kill -9 "${PID[$each]}"; done
+}
 
 no_failure() { :; }
 entry_killed() { kill_hard entry-3; }
 entry_killed_repair() { start_entry 3 entry-3 burnaby; }
 entry_frozen() { kill -STOP "${PID[entry-3]}"; }
 entry_frozen_repair() { kill -CONT "${PID[entry-3]}"; }
-agent_killed() { kill_hard surrey-1 && sleep 1 && start_agent surrey-1; }
-agent_frozen() { kill -STOP "${PID[surrey-1]}"; }
-agent_frozen_repair() { kill -CONT "${PID[surrey-1]}"; }
-vm_killed() { kill_hard surrey-2 surrey-2-vm; }
-vm_killed_repair() { start_worker 4 surrey-2 surrey intake --service-time 5ms; }
+agent_killed() { kill_hard burnaby-1 && sleep 1 && start_agent burnaby-1; }
+agent_frozen() { kill -STOP "${PID[burnaby-1]}"; }
+agent_frozen_repair() { kill -CONT "${PID[burnaby-1]}"; }
+vm_killed() { kill_hard burnaby-2 burnaby-2-vm; }
+vm_killed_repair() { start_worker 2 burnaby-2 burnaby intake --service-time 5ms; }
 store_frozen() { kill -STOP "${PID[store]}"; }
 store_frozen_repair() { kill -CONT "${PID[store]}"; }
-zone_leaves() { ctl zone out surrey --reason measurement >/dev/null && sleep 5 && ctl zone in surrey >/dev/null; }
+zone_leaves() { ctl zone out burnaby --reason measurement >/dev/null && sleep 5 && ctl zone in burnaby >/dev/null; }
 
 # measure NAME FAILURE prints one row.
 measure() {
