Use the lease package's silence rule in the hub

Cause: the rule by which an entry denies a worker, with its term and margin, stood twice. The hub used a copy of its own, while the test that the holder gives up before a denial (TestHolderGivesUpFirst) checked the one in internal/lease, which no daemon used. Ruled out: dropping the hub's case of a worker without a boot id; it moved to lease.Silence with a check. Change: the hub calls lease.Silence; its copy and its constants are removed. Behaviour is the same, except that old entries are dropped when the next acknowledgement is recorded instead of by the hub's timer. Conclusion: the proved rule is the one that runs.

--- a/internal/fleet/hub.go
+++ b/internal/fleet/hub.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/configuration"
+	"clementineflow/internal/lease"
 	"clementineflow/internal/link"
 	"clementineflow/internal/wire"
 )
@@ -47,7 +48,7 @@
 	peers    map[string]*peer
 	dialling map[string]bool
 	links    map[*connection]struct{}
-	silence  *silence
+	silence  *lease.Silence
 	rounds   map[bootKey]*round
 	nonce    uint64
 	encoded  map[wire.Role]encodedDocument
@@ -99,7 +100,7 @@
 		peers:    make(map[string]*peer),
 		dialling: make(map[string]bool),
 		links:    make(map[*connection]struct{}),
-		silence:  newSilence(time.Now()),
+		silence:  lease.NewSilence(time.Now()),
 		rounds:   make(map[bootKey]*round),
 		encoded:  make(map[wire.Role]encodedDocument),
 		nonce:    rand.Uint64(),
@@ -148,7 +149,6 @@
 func (h *Hub) prune(now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.silence.prune(now)
 	for name, w := range h.workers {
 		if w.view.Name != "" && w.link == nil && now.Sub(w.view.LostAt) > lostViewRetention {
 			delete(h.workers, name)
--- a/internal/fleet/hub_test.go
+++ b/internal/fleet/hub_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"clementineflow/internal/configuration"
+	"clementineflow/internal/lease"
 	"clementineflow/internal/link"
 	"clementineflow/internal/task"
 	"clementineflow/internal/wire"
@@ -389,9 +390,9 @@
 		is.True(w.lost("a"))
 		agent := w.agent("b", "i1", "b1", 1)
 		agent.beat(&wire.Heartbeat{Session: 1})
-		time.Sleep(LeaseTerm)
+		time.Sleep(lease.Term)
 		is.True(!w.lost("a")) // a peer has acknowledged it
-		time.Sleep(silenceWindow - LeaseTerm)
+		time.Sleep(silenceWindow - lease.Term)
 		is.True(w.lost("a"))
 
 		w.status["a"].set(func(s *fakeStatus) { s.expired = []string{"x"} })
--- a/internal/fleet/lost.go
+++ b/internal/fleet/lost.go
@@ -29,7 +29,7 @@
 func (h *Hub) Verdict(worker, bootID string) wire.SilenceVerdict {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.silence.verdict(worker, bootID, time.Now())
+	return h.silence.Verdict(worker, bootID, time.Now())
 }
 
 // Lost reports whether the lease of the boot has certainly ended: every registered entry denies the
@@ -47,7 +47,7 @@
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.silence.verdict(worker, bootID, now) != wire.SilenceDenied {
+	if h.silence.Verdict(worker, bootID, now) != wire.SilenceDenied {
 		return false
 	}
 	r := h.query(bootKey{worker, bootID}, now)
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -219,7 +219,7 @@
 		h.mutex.Unlock()
 		return false
 	}
-	h.silence.acknowledge(conn.name, conn.bootID, now)
+	h.silence.Acknowledge(conn.name, conn.bootID, now)
 	h.mutex.Unlock()
 	if err := conn.Send(h.acknowledgement(heartbeat)); err != nil {
 		h.config.Logger.Warn("heartbeat not acknowledged", "worker", conn.name, "err", err)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -148,4 +148,6 @@
 	s.Acknowledge("v", "boot", at(2*SilenceTerm))
 	is.Equal(s.Verdict("w", "boot1", at(2*SilenceTerm)), wire.SilenceDenied)
 	is.Equal(len(s.acks), 1)
+	s.Acknowledge("w", "", at(2*SilenceTerm))
+	is.Equal(s.Verdict("w", "boot1", at(3*SilenceTerm-1)), wire.SilenceAcknowledged) // any boot may hold it
 }
--- a/internal/lease/silence.go
+++ b/internal/lease/silence.go
@@ -34,10 +34,10 @@
 	s.prune(now)
 }
 
-// Verdict returns the entry's statement about one boot of a worker.
+// Verdict returns the entry's statement about one boot of a worker. An acknowledgement to a worker that
+// stated no boot id counts for each of its boots.
 func (s *Silence) Verdict(worker, bootID string, now time.Time) wire.SilenceVerdict {
-	at, ok := s.acks[workerBoot{worker: worker, bootID: bootID}]
-	if ok && now.Sub(at) < SilenceTerm {
+	if s.recent(workerBoot{worker: worker, bootID: bootID}, now) || s.recent(workerBoot{worker: worker}, now) {
 		return wire.SilenceAcknowledged
 	}
 	if now.Sub(s.startedAt) < SilenceTerm {
@@ -46,6 +46,12 @@
 	return wire.SilenceDenied
 }
 
+// recent reports whether the boot was acknowledged within SilenceTerm.
+func (s *Silence) recent(key workerBoot, now time.Time) bool {
+	at, ok := s.acks[key]
+	return ok && now.Sub(at) < SilenceTerm
+}
+
 // prune drops acknowledgements that no longer matter, at most once in SilenceTerm, so that replaced
 // workers do not accumulate.
 func (s *Silence) prune(now time.Time) {
