Run jobs of steps on the users' platform: entry, agent and coordinator

Change: docs/platform.md lays out the programs; internal/job, planner, coordinator, runner, gateway and operatorconfig are the product's part, and platform/ translates the settings, the store, the worker and the clients' calls. Ruled out: starting before the assignment is recorded, since a new coordinator would wait for the longest lease of every unreachable worker; a placement per entry, since starts of several entries collide at the workers.

--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -17,6 +17,9 @@
 	Entry   entryCommand   `cmd:"" help:"Run an entry."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file; exit with 0 if it is valid, 2 if not."`
 	Version versionCommand `cmd:"" help:"Print the version."`
+
+	PlatformEntry platformEntryCommand `cmd:"" help:"Run an entry on the users' platform."`
+	PlatformAgent platformAgentCommand `cmd:"" help:"Run the agent beside a worker on the users' platform."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/clementined/platform_agent.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"clementineflow/internal/bootclock"
+	"clementineflow/internal/coordinator"
+	"clementineflow/internal/link"
+	"clementineflow/internal/runner"
+	"clementineflow/internal/store"
+	"clementineflow/platform"
+)
+
+// platformAgentCommand runs the agent role on the users' platform.
+type platformAgentCommand struct{}
+
+// Run serves until the context ends, then stops gracefully.
+func (*platformAgentCommand) Run(ctx context.Context) error {
+	p, err := newPlatformProcess()
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, p.agent)
+}
+
+// agent looks after the worker on this VM until the context ends.
+func (p *platformProcess) agent(ctx context.Context) error {
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	authority := min(runAuthority, p.settings.MaxRunLease)
+	agent := runner.New(runner.Config{
+		Name: p.settings.Name, Worker: platform.NewWorker(p.settings.Worker),
+		LeaseTerm: min(runLeaseTerm, authority), Authority: authority,
+		Now: bootclock.Now, Logger: p.logger,
+	})
+	var group conc.WaitGroup
+	p.serveMetrics(ctx, &group)
+	links := link.NewServer(func(conn link.Conn) { agent.Serve(ctx, conn) })
+	listener, err := listen(p.settings.LinkAddress)
+	if err != nil {
+		return err
+	}
+	group.Go(func() { _ = links.Serve(listener, nil) })
+	reports := platform.Server(platform.NewReports(agent, p.settings.Service, p.logger).Handle)
+	if err := p.serveHTTP(&group, reports, p.settings.StatusReports, fail); err != nil {
+		return err
+	}
+	group.Go(func() { p.register(ctx) })
+	agent.Run(ctx)
+	p.logger.Info("stopping", "cause", context.Cause(ctx))
+	return nil
+}
+
+// register writes the agent's address to the store, where the coordinator finds it.
+func (p *platformProcess) register(ctx context.Context) {
+	value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: p.settings.LinkAddress})
+	if err != nil {
+		p.logger.Error("agent record not encoded", "error", err)
+		return
+	}
+	client := platform.NewStore(p.settings.Store)
+	_, err = backoff.Retry(ctx, func() (store.Revision, error) {
+		call, cancel := context.WithTimeout(ctx, registerTimeout)
+		defer cancel()
+		return client.Commit(call, store.Transaction{
+			Writes: []store.Write{{Key: coordinator.AgentKey(p.settings.Name), Value: value}},
+		})
+	}, backoff.WithBackOff(registerBackOff()), backoff.WithMaxElapsedTime(0))
+	if err != nil && !errors.Is(err, context.Canceled) {
+		p.logger.Error("agent not registered", "error", err)
+		return
+	}
+	p.logger.Info("registered", "address", p.settings.LinkAddress)
+}
--- /dev/null
+++ b/internal/coordinator/commit.go
@@ -0,0 +1,99 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/operatorconfig"
+	"clementineflow/internal/planner"
+	"clementineflow/internal/store"
+)
+
+// commitResult is the outcome of a commit.
+type commitResult struct {
+	commit   *planner.Commit
+	snapshot operatorconfig.Snapshot
+	sent     time.Time
+	took     time.Duration
+	revision store.Revision
+	err      error
+}
+
+// entriesPerRecord is the condition on and the write of a progress record.
+const entriesPerRecord = 2
+
+// removalEntries is the number of keys that are deleted with a job.
+const removalEntries = 3
+
+// startCommit writes the planner's next records, unless a commit is in flight.
+func (t *term) startCommit(ctx context.Context) {
+	if t.committing || t.applied.Config == nil {
+		return
+	}
+	guards := append(t.config.View.Conditions(t.applied, true), store.Condition{Key: leaderKey, Revision: store.Revision(t.number)})
+	room := store.MaxTransactionEntries - len(guards)
+	next := t.planner.NextCommit(room/max(entriesPerRecord, removalEntries), time.Now().UnixMilli())
+	if next.Empty() {
+		return
+	}
+	t.committing = true
+	transaction := buildTransaction(guards, next)
+	snapshot := t.applied
+	t.group.Go(func() {
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		revision, err := t.config.Store.Commit(call, transaction)
+		t.post(ctx, event{commit: &commitResult{
+			commit: next, snapshot: snapshot, sent: sent, took: time.Since(sent), revision: revision, err: err,
+		}})
+	})
+}
+
+// buildTransaction returns the transaction that writes the commit's records under the guards.
+func buildTransaction(guards []store.Condition, next *planner.Commit) store.Transaction {
+	transaction := store.Transaction{Conditions: guards}
+	for _, record := range next.Records {
+		key := ProgressKey(record.Job)
+		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: key, Revision: record.Revision})
+		transaction.Writes = append(transaction.Writes, store.Write{Key: key, Value: record.Value})
+	}
+	for _, id := range next.Remove {
+		transaction.Deletes = append(transaction.Deletes, JobKey(id), CancelKey(id), ProgressKey(id))
+	}
+	return transaction
+}
+
+// handleCommit takes in the outcome of a commit.
+func (t *term) handleCommit(result *commitResult) {
+	t.committing = false
+	commitSeconds.Update(result.took.Seconds())
+	if result.err == nil {
+		t.planner.Committed(result.commit, result.revision)
+		return
+	}
+	commitFailures.Inc()
+	unknown := func(string) (store.Revision, bool) { return 0, false }
+	var failed *store.ConditionError
+	if !errors.As(result.err, &failed) {
+		t.config.Logger.Warn("commit not confirmed", "records", len(result.commit.Records), "took_ms", result.took.Milliseconds(), "error", result.err)
+		t.planner.Failed(result.commit, unknown)
+		return
+	}
+	if failed.Revision(leaderKey) != store.Revision(t.number) {
+		// The renewal ends the term; until then nothing can be committed.
+		t.config.Logger.Warn("commit refused: another term has begun", "leader_revision", failed.Revision(leaderKey))
+		t.validUntil.Store(0)
+		t.planner.Failed(result.commit, unknown)
+		return
+	}
+	t.config.Logger.Info("commit refused by a condition", "records", len(result.commit.Records), "config", result.snapshot.Revision)
+	t.config.View.Learn(result.snapshot, failed, true, result.sent)
+	// Only this term writes the records, so a revision that is not the expected one stems from an
+	// earlier commit whose answer was lost.
+	t.planner.Failed(result.commit, func(id string) (store.Revision, bool) {
+		return failed.Revision(ProgressKey(id)), true
+	})
+}
--- /dev/null
+++ b/internal/coordinator/session.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/planner"
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// session keeps a link to one agent.
+type session struct {
+	term    *term
+	name    string
+	address string
+	cancel  context.CancelFunc
+	// conn is the open link, or nil.
+	conn atomic.Pointer[link.Conn]
+	// lastPing is the number of the agent's latest ping.
+	lastPing atomic.Uint64
+	// reachedAt is when the agent was last reached, in nanoseconds of the clock.
+	reachedAt atomic.Int64
+}
+
+// handleAgentRecord opens, moves or closes the link to an agent whose record changed.
+func (t *term) handleAgentRecord(ctx context.Context, change store.Event) {
+	name := change.Key[len(agentPrefix):]
+	old := t.sessions[name]
+	if change.Deleted {
+		if old != nil {
+			old.cancel()
+			delete(t.sessions, name)
+		}
+		return
+	}
+	record, err := wire.Unmarshal[AgentRecord](change.Value)
+	if err != nil {
+		t.config.Logger.Error("agent record can't be read", "key", change.Key, "error", err)
+		return
+	}
+	if old != nil {
+		if old.address == record.Address {
+			return
+		}
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &session{term: t, name: name, address: record.Address, cancel: cancel}
+	s.reachedAt.Store(int64(t.config.Now()))
+	t.sessions[name] = s
+	t.group.Go(func() { s.run(ctx) })
+}
+
+// send sends an order on the link to its agent. Without a link the order is dropped: the agent's report
+// on its next link shows what is missing.
+func (t *term) send(order planner.Order) {
+	s := t.sessions[order.Agent]
+	if s == nil {
+		return
+	}
+	open := s.conn.Load()
+	if open == nil {
+		return
+	}
+	if start, ok := order.Message.(*wire.StartRun); ok {
+		start.LastPing = s.lastPing.Load()
+	}
+	if err := (*open).Send(order.Message); err != nil {
+		t.config.Logger.Warn("order not sent, closing the link", "agent", s.name, "error", err)
+		(*open).Close()
+	}
+}
+
+// run keeps the link open until the context ends.
+func (s *session) run(ctx context.Context) {
+	delay := firstDialDelay
+	for ctx.Err() == nil {
+		if s.connect(ctx) {
+			delay = firstDialDelay
+		}
+		s.forget(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, maxDialDelay)
+	}
+}
+
+// connect serves one link and reports whether it was opened.
+func (s *session) connect(ctx context.Context) bool {
+	dial, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := s.term.config.Dialer.Dial(dial, s.address)
+	cancel()
+	if err != nil {
+		return false
+	}
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	defer conn.Close()
+	hello := &wire.TermHello{Term: s.term.number, Fence: s.term.number<<fenceShift + s.term.fences.Add(1), Agent: s.name}
+	if err := conn.Send(hello); err != nil {
+		return false
+	}
+	s.lastPing.Store(0)
+	s.conn.Store(&conn)
+	lastReply := s.receive(ctx, conn)
+	s.conn.Store(nil)
+	s.reachedAt.Store(int64(s.term.config.Now()))
+	s.term.post(ctx, event{agent: &agentEvent{name: s.name, down: true, lastReply: lastReply}})
+	return true
+}
+
+// fenceShift leaves room for a million links in one term.
+const fenceShift = 20
+
+// receive hands on the agent's messages until the link ends, and returns when a ping was last
+// acknowledged.
+func (s *session) receive(ctx context.Context, conn link.Conn) time.Duration {
+	var lastReply time.Duration
+	for {
+		message, err := conn.Receive()
+		if err != nil {
+			s.term.config.Logger.Warn("link to agent ended", "agent", s.name, "error", err)
+			return lastReply
+		}
+		ping, ok := message.(*wire.AgentPing)
+		if !ok {
+			s.term.post(ctx, event{agent: &agentEvent{name: s.name, message: message}})
+			continue
+		}
+		s.lastPing.Store(ping.Sequence)
+		if !s.term.valid() {
+			continue
+		}
+		lastReply = s.term.config.Now()
+		if err := conn.Send(&wire.PingReply{Sequence: ping.Sequence}); err != nil {
+			return lastReply
+		}
+	}
+}
+
+// forget deletes the record of an agent that has not been reached for long.
+func (s *session) forget(ctx context.Context) {
+	if s.term.config.Now()-time.Duration(s.reachedAt.Load()) < agentForgetTime {
+		return
+	}
+	s.reachedAt.Store(int64(s.term.config.Now()))
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := s.term.config.Store.Commit(call, store.Transaction{
+		Conditions: []store.Condition{{Key: leaderKey, Revision: store.Revision(s.term.number)}},
+		Deletes:    []string{AgentKey(s.name)},
+	})
+	s.term.config.Logger.Info("agent record removed", "agent", s.name, "error", err)
+}
--- /dev/null
+++ b/internal/coordinator/term.go
@@ -0,0 +1,296 @@
+package coordinator
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/operatorconfig"
+	"clementineflow/internal/planner"
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// term is the work of an entry while it is the coordinator. One goroutine, run, owns the planner.
+type term struct {
+	config Config
+	number uint64
+	lease  store.LeaseID
+	// validUntil is when another entry may take over, in nanoseconds of the clock.
+	validUntil atomic.Int64
+	fences     atomic.Uint64
+
+	events  chan event
+	planner *planner.Planner
+	loaded  map[string]store.KeyValue
+	applied operatorconfig.Snapshot
+	// committing is set while a commit is in flight.
+	committing bool
+	sessions   map[string]*session
+	group      *conc.WaitGroup
+}
+
+func newTerm(config Config, number uint64, lease store.LeaseID, validUntil time.Duration) *term {
+	config.Logger = config.Logger.With("term", number)
+	t := &term{
+		config: config, number: number, lease: lease,
+		events: make(chan event, eventQueueLength), sessions: map[string]*session{}, group: conc.NewWaitGroup(),
+	}
+	t.validUntil.Store(int64(validUntil))
+	return t
+}
+
+// valid reports whether no other entry can have taken over yet.
+func (t *term) valid() bool { return int64(t.config.Now()) < t.validUntil.Load() }
+
+// run serves the term until it is lost or the context ends.
+func (t *term) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer t.group.Wait()
+	defer cancel(context.Canceled)
+	t.config.Logger.Info("elected coordinator")
+	t.planner = planner.New(t.config.Timing, t.config.Now())
+	t.group.Go(func() { t.renew(ctx, cancel) })
+	if err := t.load(ctx); err != nil {
+		return err
+	}
+	mirror := store.NewMirror(store.MirrorConfig{
+		Feed: t.config.Store, Prefix: InputPrefix, Wait: watchWait, Logger: t.config.Logger,
+		Handle: func(events []store.Event, _ time.Time) { t.post(ctx, event{input: events}) },
+	})
+	t.group.Go(func() { mirror.Run(ctx) })
+	t.loop(ctx)
+	return context.Cause(ctx)
+}
+
+// post hands an event to the loop.
+func (t *term) post(ctx context.Context, e event) {
+	select {
+	case t.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// load reads the progress of all jobs.
+func (t *term) load(ctx context.Context) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		items, _, err := t.config.Store.ListAt(call, progressPrefix)
+		cancel()
+		if err == nil {
+			t.loaded = make(map[string]store.KeyValue, len(items))
+			for _, item := range items {
+				t.loaded[progressID(item.Key)] = item
+			}
+			t.config.Logger.Info("progress loaded", "jobs", len(items))
+			return nil
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		t.config.Logger.Warn("progress can't be loaded yet", "error", err)
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(tickInterval):
+		}
+	}
+}
+
+// loop handles events until the context ends.
+func (t *term) loop(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		operator := t.config.View.Changed()
+		t.applyOperator()
+		t.flush(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-t.events:
+			t.planner.Advance(t.config.Now())
+			t.handle(ctx, e)
+			t.drain(ctx)
+		case <-operator:
+		case <-tick.C:
+			t.planner.Advance(t.config.Now())
+			t.planner.Tick()
+		case <-expire.C:
+			t.planner.Expire(time.Now().UnixMilli())
+		}
+	}
+}
+
+// drain handles the events that already wait, so that one commit serves them all.
+func (t *term) drain(ctx context.Context) {
+	for range len(t.events) {
+		t.handle(ctx, <-t.events)
+	}
+}
+
+// applyOperator hands a change of the operator's decisions to the planner.
+func (t *term) applyOperator() {
+	snapshot := t.config.View.Snapshot()
+	if snapshot.Config == nil || snapshot.Revision == t.applied.Revision && equalZones(snapshot, t.applied) {
+		return
+	}
+	t.applied = snapshot
+	t.planner.SetOperator(snapshot)
+}
+
+func equalZones(x, y operatorconfig.Snapshot) bool {
+	if len(x.ZonesOut) != len(y.ZonesOut) {
+		return false
+	}
+	for zone, revision := range x.ZonesOut {
+		if y.ZonesOut[zone] != revision {
+			return false
+		}
+	}
+	return true
+}
+
+// handle takes in one event.
+func (t *term) handle(ctx context.Context, e event) {
+	switch {
+	case e.agent != nil:
+		t.handleAgent(e.agent)
+	case e.commit != nil:
+		t.handleCommit(e.commit)
+	case e.ask != nil:
+		t.answer(e.ask)
+	default:
+		for _, change := range e.input {
+			t.handleInput(ctx, change)
+		}
+	}
+}
+
+// handleInput takes in a change of a key under InputPrefix.
+func (t *term) handleInput(ctx context.Context, change store.Event) {
+	switch {
+	case strings.HasPrefix(change.Key, jobPrefix):
+		if !change.Deleted {
+			t.addJob(change)
+		}
+	case strings.HasPrefix(change.Key, cancelPrefix):
+		if !change.Deleted {
+			t.planner.Cancel(strings.TrimPrefix(change.Key, cancelPrefix))
+		}
+	case strings.HasPrefix(change.Key, agentPrefix):
+		t.handleAgentRecord(ctx, change)
+	}
+}
+
+// addJob hands a job to the planner, with its recorded progress.
+func (t *term) addJob(change store.Event) {
+	spec, err := job.DecodeSpec(change.Value)
+	if err != nil || spec.ID != strings.TrimPrefix(change.Key, jobPrefix) {
+		t.config.Logger.Error("job record can't be read", "key", change.Key, "error", err)
+		return
+	}
+	item := t.loaded[spec.ID]
+	delete(t.loaded, spec.ID)
+	var progress *job.Progress
+	if item.Revision != 0 {
+		if progress, err = job.DecodeProgress(item.Value); err != nil {
+			t.config.Logger.Error("progress record can't be read", "key", item.Key, "error", err)
+			return
+		}
+	}
+	t.planner.AddJob(spec, progress, item.Revision)
+}
+
+// handleAgent takes in a message of an agent.
+func (t *term) handleAgent(e *agentEvent) {
+	if e.down {
+		t.planner.AgentDown(e.name, e.lastReply)
+		return
+	}
+	switch message := e.message.(type) {
+	case *wire.AgentReport:
+		message.Agent = e.name
+		t.planner.Report(message)
+	case *wire.RunEnded:
+		t.planner.Ended(e.name, message)
+	case *wire.RunAbsent:
+		t.planner.Absent(e.name, message)
+	case *wire.RunProgress:
+		t.planner.RunProgress(e.name, message)
+	default:
+		t.config.Logger.Warn("unexpected message of an agent", "agent", e.name, "kind", e.message.Kind())
+	}
+}
+
+// flush logs the planner's decisions, sends its orders and starts the next commit.
+func (t *term) flush(ctx context.Context) {
+	t.startCommit(ctx)
+	for _, decision := range t.planner.TakeEvents() {
+		t.config.Logger.Info(decision.Message, decision.Fields...)
+	}
+	for _, order := range t.planner.TakeOrders() {
+		t.send(order)
+	}
+}
+
+// ask puts a question to the loop.
+func (t *term) ask(ctx context.Context, q question) (answer, error) {
+	q.answer = make(chan answer, 1)
+	select {
+	case t.events <- event{ask: &q}:
+	case <-ctx.Done():
+		return answer{}, errors.Wrap(ErrNotCoordinator, "busy")
+	}
+	select {
+	case reply := <-q.answer:
+		return reply, nil
+	case <-ctx.Done():
+		return answer{}, errors.Wrap(ErrNotCoordinator, "no answer")
+	}
+}
+
+// answer answers a question. A coordinator that may have been replaced says nothing.
+func (t *term) answer(q *question) {
+	if !t.valid() {
+		q.answer <- answer{}
+		return
+	}
+	if q.job == "" {
+		q.answer <- answer{known: true, waiting: t.planner.Waiting(q.queue)}
+		return
+	}
+	state, known := t.planner.State(q.job)
+	q.answer <- answer{known: known, state: state}
+}
+
+// renew keeps the leadership's lease and ends the term when it is lost.
+func (t *term) renew(ctx context.Context, lost context.CancelCauseFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(renewInterval):
+		}
+		sent := t.config.Now()
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := t.config.Store.RenewLease(call, t.lease)
+		cancel()
+		switch {
+		case err == nil:
+			t.validUntil.Store(int64(sent + leaseTTL - leaseSafety))
+		case errors.Is(err, store.ErrLeaseNotFound):
+			lost(errors.Wrap(errTermLost, "lease has expired"))
+			return
+		default:
+			t.config.Logger.Warn("lease not renewed", "valid", t.valid(), "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/submit.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/coordinator"
+	"clementineflow/internal/job"
+	"clementineflow/internal/operatorconfig"
+	"clementineflow/internal/store"
+)
+
+// Submit stores a job and returns what to tell the caller. The job's ID, payload and steps are set.
+func (g *Gateway) Submit(ctx context.Context, host, path string, spec *job.Spec) Reply {
+	if err := spec.Validate(); err != nil {
+		return g.refuse(spec.ID, Invalid, err.Error())
+	}
+	began := time.Now()
+	// unanswered is set once a write may have taken effect.
+	unanswered := false
+	for {
+		reply, err := g.store(ctx, host, path, spec)
+		if err == nil {
+			if unanswered && reply.Outcome != Accepted {
+				// An earlier attempt may still take effect.
+				reply.Outcome = Unknown
+			}
+			return reply
+		}
+		unanswered = unanswered || errors.Is(err, store.ErrOutcomeUnknown)
+		if !unanswered && time.Since(began) > refuseAfter {
+			return g.refuse(spec.ID, Refused, err.Error())
+		}
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
+			return g.giveUp(spec.ID, unanswered, err)
+		}
+		select {
+		case <-ctx.Done():
+			return g.giveUp(spec.ID, unanswered, err)
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
+// giveUp returns the answer at the caller's deadline.
+func (g *Gateway) giveUp(id string, unanswered bool, err error) Reply {
+	if unanswered {
+		return g.refuse(id, Unknown, err.Error())
+	}
+	return g.refuse(id, Refused, err.Error())
+}
+
+// refuse logs and returns an answer other than Accepted.
+func (g *Gateway) refuse(id string, outcome Outcome, reason string) Reply {
+	g.config.Logger.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
+	return Reply{Outcome: outcome, RetryAfter: retryAfter, Reason: reason}
+}
+
+// store makes one attempt to store a job under the condition that the configuration is current.
+func (g *Gateway) store(ctx context.Context, host, path string, spec *job.Spec) (Reply, error) {
+	queue, snapshot, err := g.Route(ctx, host, path)
+	if errors.Is(err, store.ErrNotFound) {
+		return g.refuse(spec.ID, NoQueue, "no such queue"), nil
+	}
+	if err != nil {
+		return Reply{}, err
+	}
+	if queue.NeedsAdvice {
+		return g.refuse(spec.ID, Refused, "queues with placement advice are not supported"), nil
+	}
+	spec.Queue, spec.Service, spec.AcceptedAt = queue.Name, queue.Service, time.Now().UTC()
+	value, err := job.EncodeSpec(spec)
+	if err != nil {
+		return g.refuse(spec.ID, Invalid, err.Error()), nil
+	}
+	key := coordinator.JobKey(spec.ID)
+	conditions := append(g.config.View.Conditions(snapshot, false), store.Condition{Key: key})
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := time.Now()
+	revision, err := g.config.Store.Commit(call, store.Transaction{
+		Conditions: conditions, Writes: []store.Write{{Key: key, Value: value}},
+	})
+	if err == nil {
+		g.config.Logger.Info("job stored", "job", spec.ID, "queue", queue.Name, "revision", revision, "config", snapshot.Config.Version)
+		return Reply{Outcome: Accepted}, nil
+	}
+	return g.judge(spec.ID, key, snapshot, err, sent)
+}
+
+// judge takes in a failed attempt. A job that is stored already counts as accepted.
+func (g *Gateway) judge(id, key string, snapshot operatorconfig.Snapshot, err error, sent time.Time) (Reply, error) {
+	var failed *store.ConditionError
+	if !errors.As(err, &failed) {
+		return Reply{}, err
+	}
+	if failed.Revision(key) != 0 {
+		g.config.Logger.Info("job is stored already", "job", id, "revision", failed.Revision(key))
+		return Reply{Outcome: Accepted}, nil
+	}
+	g.config.View.Learn(snapshot, failed, false, sent)
+	return Reply{}, errors.Wrap(store.ErrUnavailable, "configuration has changed")
+}
+
+// Cancel stores the cancellation of a job.
+func (g *Gateway) Cancel(ctx context.Context, id string) Reply {
+	var last error
+	for {
+		if _, err := g.stored(ctx, id); errors.Is(err, store.ErrNotFound) {
+			return g.refuse(id, NoJob, "no such job")
+		} else if err != nil {
+			return g.refuse(id, Unknown, err.Error())
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		revision, err := g.config.Store.Commit(call, store.Transaction{
+			Writes: []store.Write{{Key: coordinator.CancelKey(id), Value: []byte{1}}},
+		})
+		cancel()
+		if err == nil {
+			g.config.Logger.Info("cancellation stored", "job", id, "revision", revision)
+			return Reply{Outcome: Accepted}
+		}
+		last = err
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
+			return g.refuse(id, Unknown, last.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return g.refuse(id, Unknown, last.Error())
+		case <-time.After(retryDelay):
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/commit.go
@@ -0,0 +1,176 @@
+package planner
+
+import (
+	"time"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// Record is the progress record of one job to be written.
+type Record struct {
+	Job      string
+	Revision store.Revision
+	Value    []byte
+}
+
+// Commit is a set of records to be written together. Its effects follow when it is written.
+type Commit struct {
+	Records []Record
+	// Remove lists jobs whose records are deleted.
+	Remove []string
+
+	entries []*entry
+	effects [][]effect
+}
+
+// Empty reports whether there is nothing to write.
+func (c *Commit) Empty() bool { return len(c.Records) == 0 && len(c.Remove) == 0 }
+
+func (p *Planner) markDirty(e *entry) {
+	if !e.dirty {
+		e.dirty = true
+		p.dirty = append(p.dirty, e)
+	}
+}
+
+// afterCommit sends the order once everything known of the job so far is recorded.
+func (p *Planner) afterCommit(e *entry, order Order) {
+	if !e.dirty && !e.inFlight {
+		p.orders = append(p.orders, order)
+		return
+	}
+	p.markDirty(e)
+	e.effects = append(e.effects, effect{order: order})
+}
+
+// NextCommit assigns waiting tasks and returns at most limit records to write. wallMillis is the time
+// of day, which is recorded with finished jobs. It must not be called while another commit is in flight.
+func (p *Planner) NextCommit(limit int, wallMillis int64) *Commit {
+	p.assign()
+	c := &Commit{}
+	count := min(limit, len(p.dirty))
+	for _, e := range p.dirty[:count] {
+		if e.progress.State.Final() && e.progress.EndedAtMillis == 0 {
+			e.progress.EndedAtMillis = wallMillis
+		}
+		value, err := job.EncodeProgress(e.progress)
+		if err != nil {
+			p.log("progress can't be encoded", "job", e.spec.ID, "error", err)
+			continue
+		}
+		c.Records = append(c.Records, Record{Job: e.spec.ID, Revision: e.revision, Value: value})
+		c.entries = append(c.entries, e)
+		c.effects = append(c.effects, e.effects)
+		e.effects, e.dirty, e.inFlight = nil, false, true
+	}
+	p.dirty = append([]*entry(nil), p.dirty[count:]...)
+	if len(c.Records) == 0 {
+		c.Remove, p.removable = p.removable, nil
+		if len(c.Remove) > limit {
+			p.removable = c.Remove[limit:]
+			c.Remove = c.Remove[:limit]
+		}
+	}
+	return c
+}
+
+// Committed takes in that the commit was written with the revision, and releases its effects.
+func (p *Planner) Committed(c *Commit, revision store.Revision) {
+	for i, e := range c.entries {
+		e.inFlight = false
+		e.revision = revision
+		p.show(e)
+		for _, next := range c.effects[i] {
+			p.follow(next)
+		}
+	}
+	for _, id := range c.Remove {
+		delete(p.jobs, id)
+	}
+}
+
+// show makes the committed state visible to callers.
+func (p *Planner) show(e *entry) {
+	// A state that became final after the record was encoded is shown by the next commit.
+	if e.dirty || e.shown == e.progress.State {
+		return
+	}
+	e.shown = e.progress.State
+	if e.shown.Final() {
+		p.log("job ended", "job", e.spec.ID, "state", e.shown, "after_ms", (p.now - e.knownSince).Milliseconds())
+	}
+}
+
+// follow carries out one effect of a commit.
+func (p *Planner) follow(next effect) {
+	if next.start.entry == nil {
+		p.orders = append(p.orders, next.order)
+		return
+	}
+	r := next.start
+	if r.task().Phase == job.PhaseAssigned && r.task().Run == next.run {
+		p.order(r)
+	}
+}
+
+// Failed takes in that the commit was not written, or that its outcome is unknown. Its records are
+// written again with later changes merged in. revisions, if known, tells what is stored now.
+func (p *Planner) Failed(c *Commit, revisions func(id string) (store.Revision, bool)) {
+	for i, e := range c.entries {
+		e.inFlight = false
+		e.effects = append(c.effects[i], e.effects...)
+		p.markDirty(e)
+		if revision, ok := revisions(e.spec.ID); ok {
+			e.revision = revision
+		}
+	}
+	p.removable = append(p.removable, c.Remove...)
+}
+
+// order sends the start order of an assigned run.
+func (p *Planner) order(r ref) {
+	task, current, definition := r.task(), r.run(), r.definition()
+	current.ordered = true
+	current.orderAt = p.now
+	r.entry.startedAny = true
+	p.orders = append(p.orders, Order{Agent: task.Worker.Agent, Message: &wire.StartRun{
+		Task: r.name(), Run: task.Run, WorkerID: task.Worker.ID, Born: task.Worker.Born,
+		Payload: r.entry.spec.Payload, Saved: task.Saved,
+		Filler: definition.Filler, Image: definition.Image, MilliCPU: definition.Need.MilliCPU,
+		LatencyTargetMillis: definition.LatencyTarget.Milliseconds(),
+	}})
+}
+
+// stop sends the stop order of a run that may exist.
+func (p *Planner) stop(r ref) {
+	task := r.task()
+	r.run().stopping = true
+	p.orders = append(p.orders, Order{Agent: task.Worker.Agent, Message: &wire.StopRun{
+		Task: r.name(), Run: task.Run, WorkerID: task.Worker.ID, Born: task.Worker.Born,
+	}})
+}
+
+// Expire marks the jobs that ended longer than the status period ago for removal.
+func (p *Planner) Expire(wallMillis int64) {
+	bound := wallMillis - p.timing.StatusPeriod.Milliseconds()
+	for id, e := range p.jobs {
+		if e.shown.Final() && !e.dirty && !e.inFlight && e.progress.EndedAtMillis < bound && !p.holds(e) {
+			p.removable = append(p.removable, id)
+			e.progress.EndedAtMillis = wallMillis + time.Hour.Milliseconds()
+		}
+	}
+}
+
+// holds reports whether a task of the job may still run.
+func (p *Planner) holds(e *entry) bool {
+	for step := range e.progress.Steps {
+		for index := range e.progress.Steps[step] {
+			if e.progress.Steps[step][index].Phase == job.PhaseAssigned {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/planner/entry.go
@@ -0,0 +1,74 @@
+package planner
+
+import (
+	"time"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/store"
+)
+
+// entry is one job with its progress.
+type entry struct {
+	spec     *job.Spec
+	progress *job.Progress
+	// revision is the store's revision of the progress record, or zero if there is none.
+	revision store.Revision
+	runs     [][]run
+	// shown is the state that callers see: the last committed one.
+	shown job.State
+	// startedAny is set once a task of the job has begun.
+	startedAny bool
+	// knownSince is when the planner learned of the job.
+	knownSince time.Duration
+
+	dirty    bool
+	inFlight bool
+	// effects are released by the next commit of the job.
+	effects []effect
+}
+
+// run is what the planner remembers of the current run of one task.
+type run struct {
+	// ordered is set once a start order may have left; the run may then exist on the worker.
+	ordered bool
+	// stopping is set once the run was told to stop.
+	stopping bool
+	orderAt  time.Duration
+	percent  uint8
+	// avoid is the agent on which the previous run failed.
+	avoid string
+}
+
+func newEntry(spec *job.Spec, progress *job.Progress, revision store.Revision, now time.Duration) *entry {
+	e := &entry{spec: spec, progress: progress, revision: revision, shown: progress.State, knownSince: now}
+	e.runs = make([][]run, len(spec.Steps))
+	for step := range spec.Steps {
+		e.runs[step] = make([]run, spec.Steps[step].Count)
+	}
+	return e
+}
+
+// task returns the record and the run of a task, or false if the job has no such task.
+func (e *entry) task(step, index int) (*job.Task, *run, bool) {
+	if step >= len(e.progress.Steps) || index >= len(e.progress.Steps[step]) {
+		return nil, nil, false
+	}
+	return &e.progress.Steps[step][index], &e.runs[step][index], true
+}
+
+// ref names one task of one job.
+type ref struct {
+	entry *entry
+	step  int
+	index int
+}
+
+func (r ref) task() *job.Task { return &r.entry.progress.Steps[r.step][r.index] }
+func (r ref) run() *run       { return &r.entry.runs[r.step][r.index] }
+func (r ref) definition() *job.Step {
+	return &r.entry.spec.Steps[r.step]
+}
+
+func (r ref) name() string {
+	return job.TaskName{Job: r.entry.spec.ID, Step: r.step, Index: r.index}.String()
+}
--- /dev/null
+++ b/internal/runner/agent.go
@@ -0,0 +1,137 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/wire"
+)
+
+// Config holds what an Agent depends on.
+type Config struct {
+	Name   string
+	Worker Worker
+	// LeaseTerm is the longest extension of the worker's lease at a time.
+	LeaseTerm time.Duration
+	// Authority is how long an acknowledged ping lets the agent extend the lease.
+	Authority time.Duration
+	// Now reads a clock that counts suspended time.
+	Now    func() time.Duration
+	Logger *log.Logger
+}
+
+// Agent runs jobs on the worker beside it. Create it with New; it is safe for concurrent use.
+type Agent struct {
+	config Config
+	group  *conc.WaitGroup
+
+	mu sync.Mutex
+	// worker is the latest description; its ID is empty while no worker is known.
+	worker Description
+	// lost is set while the worker is silent and its lease has ended.
+	lost  bool
+	lease runLease
+	fence uint64
+	term  uint64
+	conn  link.Conn
+	pings pingLog
+
+	runs map[string]*localRun
+	ends endList
+	// complete is set once a look at this life of the worker has been taken in.
+	complete bool
+	// restarted is set until the coordinator has been told that the agent forgot its runs' attributes.
+	restarted    bool
+	lookClock    time.Duration
+	answeredAt   time.Duration
+	refusedSince time.Duration
+	paces        pacer
+	// wake is closed when the look loop has something new to do.
+	wake chan struct{}
+}
+
+// localRun is a run that is, or may be, on the worker.
+type localRun struct {
+	run      uint32
+	settled  bool
+	stopping bool
+	row      wire.RunRow
+	order    *wire.StartRun
+	// startedAt is the worker's clock when it confirmed the start.
+	startedAt time.Duration
+}
+
+// New returns an agent that knows no worker yet.
+func New(config Config) *Agent {
+	return &Agent{
+		config: config, group: conc.NewWaitGroup(),
+		lease: runLease{term: config.LeaseTerm}, runs: map[string]*localRun{},
+		ends: newEndList(), restarted: true, paces: newPacer(), wake: make(chan struct{}),
+	}
+}
+
+// Run looks after the worker until the context ends, then extends its lease once more, so that its runs
+// outlive a restart of the agent.
+func (a *Agent) Run(ctx context.Context) {
+	a.group.Go(func() { a.look(ctx) })
+	<-ctx.Done()
+	a.mu.Lock()
+	conn := a.conn
+	a.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+	a.handOver()
+	a.group.Wait()
+}
+
+// handOver extends the lease as far as the authority allows.
+func (a *Agent) handOver() {
+	a.mu.Lock()
+	due, ok := a.lease.extend(a.config.Now(), a.config.Authority)
+	request := HoldRequest{Target: a.targetLocked(), Due: due, ConfirmedUpTo: a.ends.confirmedUpTo}
+	known := a.worker.ID != ""
+	a.mu.Unlock()
+	if !ok || !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_, err := a.config.Worker.Hold(ctx, request)
+	a.config.Logger.Info("lease extended before the stop", "due_ms", due.Milliseconds(), "error", err)
+}
+
+// targetLocked names the current life of the worker.
+func (a *Agent) targetLocked() Target { return Target{ID: a.worker.ID, Fence: a.fence} }
+
+// wakeLocked makes the look loop go on at once.
+func (a *Agent) wakeLocked() {
+	close(a.wake)
+	a.wake = make(chan struct{})
+}
+
+// sendLocked sends a message to the coordinator, if there is a link.
+func (a *Agent) sendLocked(message wire.Message) {
+	if a.conn == nil {
+		return
+	}
+	if err := a.conn.Send(message); err != nil {
+		a.config.Logger.Warn("message to the coordinator not sent, closing the link", "kind", message.Kind(), "error", err)
+		a.conn.Close()
+	}
+}
+
+// pause waits for the duration and reports whether the context is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/runner/start.go
@@ -0,0 +1,203 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/planner"
+	"clementineflow/internal/wire"
+)
+
+// Reasons of a run that is absent, beside those that the planner tells apart.
+const (
+	reasonExpired = "order expired"
+	reasonLife    = "other life of the worker"
+	reasonLeaving = "worker is leaving"
+	reasonBusy    = "worker is unhealthy"
+	reasonInvalid = "worker refused the start as invalid"
+	reasonStopped = "stopped before it started"
+	reasonLapsed  = "lease of the silent worker has ended"
+	reasonRefused = "worker refuses connections"
+)
+
+// startLocked carries out a start order. An order for a run that is known already only tells again how
+// the run shares the worker.
+func (a *Agent) startLocked(ctx context.Context, order *wire.StartRun) {
+	if local := a.runs[order.Task]; local != nil && local.run >= order.Run {
+		if local.run == order.Run && local.order == nil {
+			local.order = order
+		}
+		return
+	}
+	if reason := a.refusalLocked(order); reason != "" {
+		a.config.Logger.Info("start not carried out", "task", order.Task, "run", order.Run, "reason", reason)
+		a.sendLocked(&wire.RunAbsent{WorkerID: order.WorkerID, Born: order.Born, Task: order.Task, Run: order.Run, Reason: reason})
+		return
+	}
+	local := &localRun{run: order.Run, order: order}
+	a.runs[order.Task] = local
+	issued, _ := a.pings.sentAt(order.LastPing)
+	a.group.Go(func() { a.start(ctx, local, issued+maxOrderAge) })
+}
+
+// refusalLocked returns why a start order must not be carried out, or "".
+func (a *Agent) refusalLocked(order *wire.StartRun) string {
+	issued, ok := a.pings.sentAt(order.LastPing)
+	switch {
+	case !ok || a.config.Now()-issued > maxOrderAge:
+		return reasonExpired
+	case order.WorkerID != a.worker.ID || order.Born != a.worker.Born || a.lost:
+		return reasonLife
+	case a.worker.Leaving:
+		return reasonLeaving
+	default:
+		return ""
+	}
+}
+
+// start repeats the start call until the worker's verdict is known or the order is too old.
+func (a *Agent) start(ctx context.Context, local *localRun, deadline time.Duration) {
+	unanswered := false
+	for {
+		reason := a.tryStart(ctx, local, deadline, &unanswered)
+		if reason == "" {
+			return
+		}
+		if reason != reasonRetry {
+			a.settleAbsent(ctx, local, reason, unanswered)
+			return
+		}
+		if !pause(ctx, retryDelay) {
+			return
+		}
+	}
+}
+
+// reasonRetry asks for another attempt.
+const reasonRetry = "retry"
+
+// tryStart makes one attempt. It returns "" once the run is there or its life is over, reasonRetry, or
+// why the run will not be started.
+func (a *Agent) tryStart(ctx context.Context, local *localRun, deadline time.Duration, unanswered *bool) string {
+	order := local.order
+	a.mu.Lock()
+	now := a.config.Now()
+	due, ok := a.lease.extend(now, startDue)
+	request := StartRequest{
+		Target: a.targetLocked(), Task: order.Task, Run: order.Run,
+		Payload: order.Payload, Saved: order.Saved, Due: due,
+	}
+	gone := a.runs[order.Task] != local
+	leaving, stopping := a.worker.Leaving, local.stopping
+	a.mu.Unlock()
+	switch {
+	case gone:
+		return ""
+	case stopping:
+		return reasonStopped
+	case leaving:
+		return reasonLeaving
+	case !ok || now > deadline:
+		if *unanswered {
+			return planner.ReasonUnanswered
+		}
+		return reasonExpired
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	verdict, err := a.config.Worker.Start(call, request)
+	return a.judge(local, verdict, err, unanswered)
+}
+
+// judge takes in the outcome of a start call.
+func (a *Agent) judge(local *localRun, verdict Verdict, err error, unanswered *bool) string {
+	switch {
+	case err == nil && verdict.Reason == "":
+		a.started(local, verdict.Clock)
+		return ""
+	case err == nil:
+		return verdict.Reason
+	case errors.Is(err, ErrOtherLife):
+		return reasonLife
+	case errors.Is(err, ErrInvalid):
+		return reasonInvalid
+	case errors.Is(err, ErrBusy), errors.Is(err, ErrNotSent):
+		return reasonRetry
+	default:
+		a.config.Logger.Info("start not answered", "task", local.order.Task, "run", local.run, "error", err)
+		*unanswered = true
+		return reasonRetry
+	}
+}
+
+// started notes a run that the worker has confirmed.
+func (a *Agent) started(local *localRun, clock time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	local.settled = true
+	local.startedAt = clock
+	a.lease.observe(clock, a.config.Now())
+	a.config.Logger.Info("run started", "task", local.order.Task, "run", local.run, "worker", a.worker.ID)
+	if local.stopping {
+		task, run := local.order.Task, local.run
+		a.group.Go(func() { a.stop(context.Background(), task, run) })
+	}
+}
+
+// settleAbsent makes sure that a run that was not started never will be, and reports it as absent.
+func (a *Agent) settleAbsent(ctx context.Context, local *localRun, reason string, unanswered bool) {
+	task := local.order.Task
+	if unanswered && !a.stopUntilAnswered(ctx, task, local.run) {
+		return
+	}
+	for ctx.Err() == nil {
+		present, ok := a.lookFor(ctx, local, task)
+		if ok && !present {
+			break
+		}
+		if ok && present && !unanswered {
+			// The run is there after all; the look has taken it in.
+			return
+		}
+		if !pause(ctx, retryDelay) {
+			return
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runs[task] != local {
+		return
+	}
+	delete(a.runs, task)
+	a.config.Logger.Info("run is absent", "task", task, "run", local.run, "reason", reason)
+	a.sendAbsentLocked(task, local.run, reason)
+}
+
+// lookFor takes a fresh look at the worker and reports whether the run is on it or has a listed end. A
+// run that is no longer known to the agent counts as settled. ok is false if the look failed.
+func (a *Agent) lookFor(ctx context.Context, local *localRun, task string) (present, ok bool) {
+	a.mu.Lock()
+	request := HoldRequest{Target: a.targetLocked(), ConfirmedUpTo: a.ends.confirmedUpTo}
+	gone := a.runs[task] != local
+	a.mu.Unlock()
+	if gone {
+		return false, true
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	look, err := a.config.Worker.Hold(call, request)
+	if err != nil {
+		return false, false
+	}
+	a.takeLook(look)
+	for i := range look.Runs {
+		if look.Runs[i].Task == task && look.Runs[i].Run == local.run {
+			return true, true
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ends.has(task, local.run), true
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -97,7 +97,7 @@
 	case KindSilenceReply:
 		return &SilenceReply{}
 	default:
-		return nil
+		return newJobMessage(kind)
 	}
 }
 
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -25,6 +25,22 @@
 	KindLeaving       Kind = 17
 	KindSilenceQuery  Kind = 18
 	KindSilenceReply  Kind = 19
+	// The coordinator's messages about jobs of steps.
+	KindTermHello   Kind = 20
+	KindAgentReport Kind = 21
+	KindAgentPing   Kind = 22
+	KindPingReply   Kind = 23
+	KindStartRun    Kind = 24
+	KindStopRun     Kind = 25
+	KindRunEnded    Kind = 26
+	KindRunAbsent   Kind = 27
+	KindConfirmEnds Kind = 28
+	KindJobQuery    Kind = 29
+	KindJobReply    Kind = 30
+	KindQueueQuery  Kind = 31
+	KindQueueReply  Kind = 32
+	KindRunProgress Kind = 33
+	KindPeerPing    Kind = 34
 )
 
 // Message is one message between two processes.
