Read the platform's settings again after SIGHUP

Change: both roles read the settings file after SIGHUP and every 5 s, and move their clients of the store and the worker to a changed address.

--- a/cmd/clementined/platform.go
+++ b/cmd/clementined/platform.go
@@ -4,7 +4,10 @@
 	"context"
 	"net"
 	"os"
+	"os/signal"
+	"reflect"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,6 +22,8 @@
 const (
 	// platformLogLines bounds the log lines that wait to be written.
 	platformLogLines = 4096
+	// settingsInterval is the time between two looks at the settings file.
+	settingsInterval = 5 * time.Second
 	// memoryShare is the part of a process's memory limit above which collections become frequent.
 	memoryShare = 0.7
 	// runAuthority is how long an acknowledged ping lets an agent extend its worker's lease.
@@ -65,6 +70,37 @@
 	return err
 }
 
+// followSettings reads the settings file again after each SIGHUP and from time to time, since it may
+// also change without a signal, and hands the new settings to apply.
+func (p *platformProcess) followSettings(ctx context.Context, apply func(*platform.Settings)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	current := p.settings
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			signalled = true
+		case <-ticker.C:
+		}
+		loaded, err := platform.LoadSettings()
+		switch {
+		case err != nil:
+			p.logger.Error("settings not reloaded; the former ones stay in force", "error", err)
+		case !reflect.DeepEqual(loaded, current):
+			p.logger.Info("settings changed", "signalled", signalled, "store", loaded.Store, "worker", loaded.Worker)
+			current = loaded
+			apply(loaded)
+		case signalled:
+			p.logger.Info("settings reloaded without a change")
+		}
+	}
+}
+
 // listen opens a listener on the address.
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", address)
--- a/cmd/clementined/platform_agent.go
+++ b/cmd/clementined/platform_agent.go
@@ -31,16 +31,19 @@
 func (p *platformProcess) agent(ctx context.Context) error {
 	ctx, fail := context.WithCancelCause(ctx)
 	defer fail(nil)
+	name, address := p.settings.Name, p.settings.LinkAddress
+	worker := platform.NewWorker(p.settings.Worker)
+	client := platform.NewStore(p.settings.Store)
 	authority := min(runAuthority, p.settings.MaxRunLease)
 	agent := runner.New(runner.Config{
-		Name: p.settings.Name, Worker: platform.NewWorker(p.settings.Worker),
+		Name: name, Worker: worker,
 		LeaseTerm: min(runLeaseTerm, authority), Authority: authority,
 		Now: bootclock.Now, Logger: p.logger,
 	})
 	var group conc.WaitGroup
 	p.serveMetrics(ctx, &group)
 	links := link.NewServer(func(conn link.Conn) { agent.Serve(ctx, conn) })
-	listener, err := listen(p.settings.LinkAddress)
+	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
@@ -49,30 +52,35 @@
 	if err := p.serveHTTP(&group, reports, p.settings.StatusReports, fail); err != nil {
 		return err
 	}
-	group.Go(func() { p.register(ctx) })
+	group.Go(func() {
+		p.followSettings(ctx, func(s *platform.Settings) {
+			worker.Move(s.Worker)
+			client.Move(s.Store)
+		})
+	})
+	group.Go(func() { p.register(ctx, client, name, address) })
 	agent.Run(ctx)
 	p.logger.Info("stopping", "cause", context.Cause(ctx))
 	return nil
 }
 
 // register writes the agent's address to the store, where the coordinator finds it.
-func (p *platformProcess) register(ctx context.Context) {
-	value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: p.settings.LinkAddress})
+func (p *platformProcess) register(ctx context.Context, client *platform.Store, name, address string) {
+	value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: address})
 	if err != nil {
 		p.logger.Error("agent record not encoded", "error", err)
 		return
 	}
-	client := platform.NewStore(p.settings.Store)
 	_, err = backoff.Retry(ctx, func() (store.Revision, error) {
 		call, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
 		return client.Commit(call, store.Transaction{
-			Writes: []store.Write{{Key: coordinator.AgentKey(p.settings.Name), Value: value}},
+			Writes: []store.Write{{Key: coordinator.AgentKey(name), Value: value}},
 		})
 	}, backoff.WithBackOff(registerBackOff()), backoff.WithMaxElapsedTime(0))
 	if err != nil && !errors.Is(err, context.Canceled) {
 		p.logger.Error("agent not registered", "error", err)
 		return
 	}
-	p.logger.Info("registered", "address", p.settings.LinkAddress)
+	p.logger.Info("registered", "address", address)
 }
--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -65,6 +65,7 @@
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group.Go(func() { mirror.Run(serving) })
+	group.Go(func() { p.followSettings(serving, func(s *platform.Settings) { client.Move(s.Store) }) })
 	group.Go(func() { elected.Run(ctx) })
 	group.Go(func() { peer.Run(serving) })
 	p.serveMetrics(serving, &group)
