Pace and place fillers by what they are learned to press

Found: the latency of a serving run behaves like that of a queue (share of the target = 0.2 / (1 - usage)); usage is its own load plus a sum over the cores of the fillers beside it, with a factor for each pair of images. Change: interference.Pressure learns loads and pair factors; the agent's pacer lets fillers work as far as all targets are expected to hold, and stops those that press a run which has been over for 1.5 s; agents share what they learned; the planner places fillers where headroom is left and moves held ones.

--- /dev/null
+++ b/internal/interference/pressure_test.go
@@ -0,0 +1,41 @@
+package interference
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// latencyShare is the latency of a queue as a share of its target, with a rest latency of a fifth.
+func latencyShare(usage float64) float64 { return 0.2 / (1 - min(usage, 0.98)) }
+
+// TestPressureTellsImagesApart guards against blaming an image that is only often beside the one that
+// presses: three cores of the heavy image bring the run over its target, those of the light one don't.
+func TestPressureTellsImagesApart(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	model := NewPressure()
+	for range 400 {
+		heavy, light := 2*float64(random.IntN(3)), 2*float64(random.IntN(3))
+		load := 0.3 + 0.3*random.Float64()
+		model.Observe("run", "serving", latencyShare(load+0.08*heavy+0.005*light), []Neighbour{
+			{Image: "heavy", Cores: heavy}, {Image: "light", Cores: light},
+		})
+	}
+	is.True(model.Pair("serving", "heavy") > 0.05)
+	is.True(model.Pair("serving", "light") < 0.03)
+	is.True(model.Load("run") > 0.25 && model.Load("run") < 0.65)
+}
+
+// TestPressureOfUnknownImages guards against an image without samples counting as harmless, which would
+// put all new fillers beside the same run.
+func TestPressureOfUnknownImages(t *testing.T) {
+	is := is.New(t)
+	model := NewPressure()
+	is.Equal(model.Pair("serving", "new"), priorPressure)
+	model.Adopt(Pair{"serving", "new"}, PressureEstimate{Value: 0.3, Samples: 20})
+	is.True(model.Pair("serving", "new") > 0.2)
+	model.Adopt(Pair{"serving", "new"}, PressureEstimate{Value: 0, Samples: 3})
+	is.True(model.Pair("serving", "new") > 0.2) // fewer samples do not replace more
+}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -130,7 +130,6 @@
 	if a == nil || a.life.ID != report.WorkerID || a.life.Born != report.Born {
 		return
 	}
-	a.pressed = report.Pressed
 	for i := range report.Runs {
 		row := &report.Runs[i]
 		r, ok := p.find(row.Task)
@@ -138,6 +137,7 @@
 			p.noteProgress(r, row)
 		}
 	}
+	p.noteSharing(a, report)
 }
 
 // find returns the task with the name.
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -87,6 +87,9 @@
 		if r.task().Phase != job.PhaseWaiting {
 			continue
 		}
+		if r.run().waitingSince == 0 {
+			r.run().waitingSince = p.now
+		}
 		best := p.choose(r, onWorker)
 		if best == nil {
 			blocked[key] = definition.MaxPerWorker == 0
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -7,9 +7,14 @@
 const (
 	// servingUse is the part of its reservation that a task with a latency target is taken to use.
 	// The rest is left to fillers.
-	servingUse = 0.6
+	servingUse = 0.55
 	// minFillerShare is the part of its processors that a filler must find unused on a worker.
-	minFillerShare = 0.6
+	minFillerShare = 0.55
+	// headroomWeight weighs the headroom that a filler leaves to runs with a latency target against a
+	// worker's idle share.
+	headroomWeight = 3
+	// patiencePerSecond is how much headroom a filler may lack for each second that it has waited.
+	patiencePerSecond = 0.3
 )
 
 // service returns the name of the workers' service of the job's queue. A queue that was removed keeps
@@ -59,6 +64,10 @@
 			return false
 		}
 		need.MilliCPU = 0
+		waited := (p.now - r.run().waitingSince).Seconds()
+		if p.headroom(r, a) < -patiencePerSecond*waited {
+			return false
+		}
 	}
 	return need.FitsIn(a.free())
 }
@@ -81,8 +90,8 @@
 	if definition.Rack != "" && !a.hasLabel(definition.Rack) {
 		score -= 1
 	}
-	if definition.Filler && a.pressed {
-		score -= 1
+	if definition.Filler {
+		score += headroomWeight * p.headroom(r, a)
 	}
 	if a.name == r.run().avoid {
 		score -= 4
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -135,8 +135,13 @@
 	current.ordered = true
 	current.orderAt = p.now
 	r.entry.startedAny = true
+	var pressures []wire.PressureRow
+	if a := p.agents[task.Worker.Agent]; definition.Filler && a != nil {
+		pressures = p.pressureRows(r, a)
+	}
 	p.orders = append(p.orders, Order{Agent: task.Worker.Agent, Message: &wire.StartRun{
-		Task: r.name(), Run: task.Run, WorkerID: task.Worker.ID, Born: task.Worker.Born,
+		Pressures: pressures,
+		Task:      r.name(), Run: task.Run, WorkerID: task.Worker.ID, Born: task.Worker.Born,
 		Payload: r.entry.spec.Payload, Saved: task.Saved,
 		Filler: definition.Filler, Image: definition.Image, MilliCPU: definition.Need.MilliCPU,
 		LatencyTargetMillis: definition.LatencyTarget.Milliseconds(),
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -35,10 +35,22 @@
 	stopping bool
 	orderAt  time.Duration
 	percent  uint8
+	// load is the own load of a run with a latency target, or zero if it was not reported.
+	load float64
+	// waitingSince is when the task last became ready to be placed.
+	waitingSince time.Duration
 	// avoid is the agent on which the previous run failed.
 	avoid string
 }
 
+// loadOr returns the own load of the run, or the given one if it was not reported.
+func (r *run) loadOr(unknown float64) float64 {
+	if r.load == 0 {
+		return unknown
+	}
+	return r.load
+}
+
 func newEntry(spec *job.Spec, progress *job.Progress, revision store.Revision, now time.Duration) *entry {
 	e := &entry{spec: spec, progress: progress, revision: revision, shown: progress.State, knownSince: now}
 	e.runs = make([][]run, len(spec.Steps))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -23,9 +23,10 @@
 	// cancels holds the cancelled jobs that are not known yet.
 	cancels map[string]bool
 
-	dirty  []*entry
-	orders []Order
-	events []Event
+	dirty     []*entry
+	orders    []Order
+	events    []Event
+	pressures pressureTable
 	// active lists the jobs that are not final, oldest first.
 	active []*entry
 	// removable lists the ids of jobs whose records can be deleted.
@@ -38,6 +39,7 @@
 		timing: timing, now: now, termStart: now,
 		jobs: map[string]*entry{}, agents: map[string]*agent{},
 		lives: map[job.WorkerLife]map[ref]struct{}{}, cancels: map[string]bool{},
+		pressures: pressureTable{},
 	}
 }
 
--- /dev/null
+++ b/internal/planner/sharing.go
@@ -0,0 +1,119 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/wire"
+)
+
+const (
+	// moveAfter is how long a filler is held back before it is moved to a better worker.
+	moveAfter = 1500 * time.Millisecond
+	// moveGain is how much more headroom the worker must have that a filler is moved to.
+	moveGain = 0.15
+	// losablePercent is up to how much of its work a filler without checkpoints is moved.
+	losablePercent = 25
+)
+
+// noteSharing takes in what an agent learned, and moves fillers that are held back for long.
+func (p *Planner) noteSharing(a *agent, report *wire.RunProgress) {
+	for _, row := range report.Pressures {
+		p.pressures.note(a.name, row)
+	}
+	for _, row := range report.Loads {
+		if r, ok := p.find(row.Task); ok {
+			r.run().load = float64(row.Load)
+		}
+	}
+	for i := range report.Held {
+		p.considerMove(a, &report.Held[i])
+	}
+}
+
+// headroom returns how much of the shared resource the tightest run with a latency target on the worker
+// has left, were the filler there too. It is negative if the filler would have to be held back.
+func (p *Planner) headroom(r ref, a *agent) float64 {
+	tightest := aimedUsage
+	for serving := range p.lives[a.life] {
+		if serving.definition().LatencyTarget > 0 {
+			tightest = min(tightest, p.headroomOf(serving, r, a))
+		}
+	}
+	return tightest
+}
+
+// headroomOf returns what one run with a latency target has left beside the filler.
+func (p *Planner) headroomOf(serving, r ref, a *agent) float64 {
+	image := serving.definition().Image
+	left := aimedUsage - serving.run().loadOr(restLoad) - p.pressureOf(image, r)
+	for other := range p.lives[a.life] {
+		if other.definition().Filler && other != r {
+			left -= p.pressureOf(image, other)
+		}
+	}
+	return left
+}
+
+// pressureOf returns the expected pressure of a filler on runs of an image.
+func (p *Planner) pressureOf(image string, filler ref) float64 {
+	definition := filler.definition()
+	return p.pressures.expected(image, definition.Image) * float64(definition.Need.MilliCPU) / milliCores
+}
+
+// pressureRows returns what is known of how a filler presses the runs on a worker.
+func (p *Planner) pressureRows(r ref, a *agent) []wire.PressureRow {
+	var rows []wire.PressureRow
+	seen := map[string]bool{}
+	for other := range p.lives[a.life] {
+		image := other.definition().Image
+		if other.definition().LatencyTarget == 0 || seen[image] {
+			continue
+		}
+		seen[image] = true
+		if row, ok := p.pressures.row(image, r.definition().Image); ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// considerMove stops a filler that has been held back for long if another worker suits it better. It
+// resumes there from its checkpoint.
+func (p *Planner) considerMove(a *agent, row *wire.HeldRow) {
+	r, ok := p.find(row.Task)
+	if !ok || row.Millis < moveAfter.Milliseconds() {
+		return
+	}
+	task := r.task()
+	if task.Phase != job.PhaseAssigned || task.Worker != a.life || task.Run != row.Run || r.run().stopping {
+		return
+	}
+	if !r.definition().Checkpoints && r.run().percent > losablePercent {
+		return
+	}
+	onWorker := p.perWorker(candidate{entry: r.entry, step: r.step})
+	better := p.choose(r, onWorker)
+	if better == nil || better == a || p.headroom(r, better) < p.headroom(r, a)+moveGain {
+		return
+	}
+	p.log("filler moves", "task", row.Task, "from", a.name, "to_about", better.name, "held_ms", row.Millis)
+	r.run().avoid = a.name
+	p.stop(r)
+}
+
+// Neighbours returns the images on the agent's worker, for tests and the operators' tool.
+func (p *Planner) Neighbours(agentName string) []string {
+	var images []string
+	for life, held := range p.lives {
+		if life.Agent != agentName {
+			continue
+		}
+		for r := range held {
+			images = append(images, r.definition().Image)
+		}
+	}
+	slices.Sort(images)
+	return images
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -32,8 +32,6 @@
 	fillerCPU int64
 	// servingCPU is the part of reserved that belongs to tasks with a latency target.
 	servingCPU int64
-	// pressed is set while the agent holds fillers back.
-	pressed bool
 
 	roomPenaltyEnds time.Duration
 	failuresInRow   int
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -51,6 +51,8 @@
 	answeredAt   time.Duration
 	refusedSince time.Duration
 	paces        pacer
+	// servingNow holds the runs with a latency target of the latest look.
+	servingNow []servingRun
 	// wake is closed when the look loop has something new to do.
 	wake chan struct{}
 }
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -47,7 +47,8 @@
 	a.complete, a.lost = false, false
 	a.lookClock, a.refusedSince = 0, 0
 	a.answeredAt = a.config.Now()
-	a.paces = newPacer()
+	a.paces.reset()
+	a.servingNow = nil
 	a.lease.forgetClock()
 }
 
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -48,7 +48,7 @@
 	}
 	now := a.config.Now()
 	request = HoldRequest{Target: a.targetLocked(), ConfirmedUpTo: a.ends.confirmedUpTo, Wait: lookWait}
-	if a.paces.sharing(a.runs) {
+	if a.sharingLocked() {
 		request.Wait = sharedLookWait
 	}
 	if now-a.answeredAt < silenceBound {
@@ -160,23 +160,3 @@
 	}
 	return unknown
 }
-
-// reportProgress tells the coordinator how far the runs are.
-func (a *Agent) reportProgress() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conn == nil || len(a.runs) == 0 || !a.complete {
-		return
-	}
-	report := &wire.RunProgress{WorkerID: a.worker.ID, Born: a.worker.Born, Pressed: a.paces.pressed}
-	for task, local := range a.runs {
-		row := local.row
-		row.Task, row.Run = task, local.run
-		if row.Percent > 0 || row.Saved != "" {
-			report.Runs = append(report.Runs, row)
-		}
-	}
-	if len(report.Runs) > 0 {
-		a.sendLocked(report)
-	}
-}
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -1,10 +1,11 @@
 package runner
 
 import (
-	"context"
+	"cmp"
+	"slices"
 	"time"
 
-	"clementineflow/internal/wire"
+	"clementineflow/internal/interference"
 )
 
 const (
@@ -12,126 +13,230 @@
 	fullPace = 100
 	// lowestPace is the smallest pace above a standstill.
 	lowestPace = 10
-	// paceStep is how much a pace rises at a time.
-	paceStep = 15
-	// highShare and lowShare are the shares of a latency target above which fillers are held back, and
-	// below which they get their pace back.
-	highShare = 0.85
-	lowShare  = 0.6
-	// adjustInterval is the time between two changes of the pace; the worker's figures are of about the
+	// heldPace is the pace below which a filler counts as held back.
+	heldPace = 40
+	// paceStep bounds how much a pace rises at a time; it falls without a bound.
+	paceStep = 40
+	// aimedShare is the share of a latency target that fillers may bring a run to.
+	aimedShare = 1.0
+	// maxOver is how long a run may be over its target before all fillers that press it stand still.
+	maxOver = 1500 * time.Millisecond
+	// relevantPressure is the expected pressure of a filler above which it counts as pressing.
+	relevantPressure = 0.01
+	// fallingFactor tells a latency that falls: the worker's figures still contain the former ones, so
+	// nothing can be learned from it.
+	fallingFactor = 1.6
+	// adjustInterval is the time between two changes of the paces; the worker's figures are of about the
 	// last half second.
-	adjustInterval = 400 * time.Millisecond
+	adjustInterval = 450 * time.Millisecond
+	// patience is how long a filler must have been held back for its claim to double.
+	patience = 2 * time.Second
+	// milliCores is the number of thousandths in a core.
+	milliCores = 1000
 )
 
-// pacer holds the pace of the fillers on the worker.
-type pacer struct {
-	percent int
-	// adjustedAt is when the pace was last set from a latency.
-	adjustedAt time.Duration
-	// pressed is set while fillers are held back.
-	pressed bool
-	// applied holds the pace that the worker has confirmed for each filler.
-	applied map[string]appliedPace
+// servingRun is a run with a latency target and its latest latency.
+type servingRun struct {
+	task  string
+	image string
+	// share is the latency as a share of the target.
+	share float64
 }
 
-// appliedPace is the pace of one run.
-type appliedPace struct {
+// fillerRun is a run that uses what others leave.
+type fillerRun struct {
+	task  string
+	run   uint32
+	image string
+	// cores is what the run uses at full pace.
+	cores float64
+}
+
+// pace is the pace of one filler.
+type pace struct {
 	run     uint32
 	percent int
+	// applied is the pace that was last sent to the worker.
+	applied int
+	// heldSince is when the filler was last brought below heldPace.
+	heldSince time.Duration
+}
+
+// pacer decides how fast fillers work beside runs with a latency target. It learns how much each image
+// presses which run, and lets the fillers work as far as all targets are expected to be kept, those
+// that press least first. It is pure: times are passed in.
+type pacer struct {
+	model   *interference.Pressure
+	paces   map[string]*pace
+	figures map[string]float64
+	// overSince is since when each run that is over its target has been so.
+	overSince  map[string]time.Duration
+	adjustedAt time.Duration
 }
 
-func newPacer() pacer { return pacer{percent: fullPace, applied: map[string]appliedPace{}} }
+func newPacer() pacer {
+	return pacer{model: interference.NewPressure(), paces: map[string]*pace{}, figures: map[string]float64{}, overSince: map[string]time.Duration{}}
+}
+
+// reset forgets the runs, but not what was learned about images.
+func (p *pacer) reset() {
+	p.paces, p.figures, p.overSince = map[string]*pace{}, map[string]float64{}, map[string]time.Duration{}
+}
 
-// sharing reports whether runs with a latency target share the worker with fillers.
-func (p *pacer) sharing(runs map[string]*localRun) bool {
-	serving, filling := false, false
-	for _, local := range runs {
-		if local.order != nil {
-			serving = serving || local.order.LatencyTargetMillis > 0
-			filling = filling || local.order.Filler
+// adjust sets the paces of the fillers from the latest latencies.
+func (p *pacer) adjust(now time.Duration, serving []servingRun, fillers []fillerRun) {
+	p.follow(fillers)
+	if len(serving) > 0 && now-p.adjustedAt < adjustInterval {
+		return
+	}
+	p.adjustedAt = now
+	p.learn(now, serving, fillers)
+	p.share(now, serving, fillers)
+}
+
+// follow begins and forgets fillers.
+func (p *pacer) follow(fillers []fillerRun) {
+	present := make(map[string]bool, len(fillers))
+	for _, filler := range fillers {
+		present[filler.task] = true
+		if known := p.paces[filler.task]; known == nil || known.run != filler.run {
+			p.paces[filler.task] = &pace{run: filler.run, percent: fullPace, applied: fullPace}
 		}
 	}
-	return serving && filling
-}
-
-// adjust sets the pace by the worst latency among the runs with a target: it falls fast and rises slowly.
-func (p *pacer) adjust(worst float64) {
-	switch {
-	case worst > 1:
-		p.percent /= 4
-	case worst > highShare:
-		p.percent /= 2
-	case worst < lowShare:
-		p.percent = min(fullPace, p.percent+paceStep)
-	}
-	if worst > highShare && p.percent < lowestPace {
-		p.percent = 0
-	}
-	p.pressed = p.percent < fullPace
-}
-
-// adjustPaces takes in the latencies of a look and paces the fillers.
-func (a *Agent) adjustPaces(ctx context.Context, look Look) {
-	a.mu.Lock()
-	worst, serving := a.worstLatencyLocked(look)
-	now := a.config.Now()
-	switch {
-	case !serving:
-		a.paces.percent, a.paces.pressed = fullPace, false
-	case now-a.paces.adjustedAt >= adjustInterval:
-		a.paces.adjustedAt = now
-		a.paces.adjust(worst)
-	}
-	target := a.targetLocked()
-	changes := a.paceChangesLocked()
-	a.mu.Unlock()
-	for _, change := range changes {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.config.Worker.Pace(call, target, change.Task, change.Run, int(change.Percent))
-		cancel()
-		a.mu.Lock()
-		if err != nil {
-			delete(a.paces.applied, change.Task)
+	for task := range p.paces {
+		if !present[task] {
+			delete(p.paces, task)
 		}
-		a.mu.Unlock()
 	}
 }
 
-// worstLatencyLocked returns the highest ratio of a latency to its target.
-func (a *Agent) worstLatencyLocked(look Look) (worst float64, serving bool) {
-	for i := range look.Runs {
-		state := &look.Runs[i]
-		local := a.runs[state.Task]
-		if local == nil || local.order == nil || local.run != state.Run || local.order.LatencyTargetMillis == 0 {
-			continue
+// learn takes in how the runs fare beside the fillers that work now.
+func (p *pacer) learn(now time.Duration, serving []servingRun, fillers []fillerRun) {
+	var neighbours []interference.Neighbour
+	for _, filler := range fillers {
+		if applied := p.paces[filler.task].applied; applied > 0 {
+			neighbours = append(neighbours, interference.Neighbour{
+				Image: filler.image, Cores: filler.cores * float64(applied) / fullPace,
+			})
 		}
-		serving = true
-		worst = max(worst, float64(state.Figure)/float64(local.order.LatencyTargetMillis))
 	}
-	return worst, serving
+	figures := make(map[string]float64, len(serving))
+	for _, s := range serving {
+		former := p.figures[s.task]
+		figures[s.task] = s.share
+		p.noteOver(now, s)
+		if former <= fallingFactor*s.share {
+			p.model.Observe(s.task, s.image, s.share, neighbours)
+		}
+	}
+	for task := range p.figures {
+		if _, ok := figures[task]; !ok {
+			p.model.Forget(task)
+			delete(p.overSince, task)
+		}
+	}
+	p.figures = figures
 }
 
-// paceChangesLocked returns the fillers whose pace differs from the one that is due.
-func (a *Agent) paceChangesLocked() []wire.RunRow {
-	var changes []wire.RunRow
-	for task, local := range a.runs {
-		if local.order == nil || !local.order.Filler || !local.settled {
-			continue
-		}
-		applied, ok := a.paces.applied[task]
-		if !ok || applied.run != local.run {
-			applied = appliedPace{run: local.run, percent: fullPace}
+// noteOver follows how long a run has been over its target.
+func (p *pacer) noteOver(now time.Duration, s servingRun) {
+	if s.share <= 1 {
+		delete(p.overSince, s.task)
+	} else if p.overSince[s.task] == 0 {
+		p.overSince[s.task] = now
+	}
+}
+
+// roomBeside returns how much of the shared resource fillers may use beside a run.
+func (p *pacer) roomBeside(now time.Duration, s servingRun) float64 {
+	if since := p.overSince[s.task]; since != 0 && now-since >= maxOver {
+		return 0
+	}
+	return max(0, p.model.Usage(s.image, aimedShare)-p.model.Load(s.task))
+}
+
+// share gives each filler the pace at which all runs are expected to keep their targets. Fillers that
+// press least go first, and with time those that have been held back.
+func (p *pacer) share(now time.Duration, serving []servingRun, fillers []fillerRun) {
+	room := make([]float64, len(serving))
+	for i, s := range serving {
+		room[i] = p.roomBeside(now, s)
+	}
+	ordered := slices.Clone(fillers)
+	claims := make(map[string]float64, len(fillers))
+	for _, filler := range fillers {
+		claims[filler.task] = p.worstPressure(serving, filler) / (1 + float64(p.held(filler.task, now))/float64(patience))
+	}
+	slices.SortStableFunc(ordered, func(x, y fillerRun) int { return cmp.Compare(claims[x.task], claims[y.task]) })
+	for _, filler := range ordered {
+		part := 1.0
+		for i, s := range serving {
+			if need := p.model.Pair(s.image, filler.image) * filler.cores; need > relevantPressure {
+				part = min(part, room[i]/need)
+			}
 		}
-		if applied.percent == a.paces.percent {
-			continue
+		percent := p.set(now, filler, int(part*fullPace))
+		for i, s := range serving {
+			used := p.model.Pair(s.image, filler.image) * filler.cores * float64(percent) / fullPace
+			room[i] = max(0, room[i]-used)
 		}
-		a.paces.applied[task] = appliedPace{run: local.run, percent: a.paces.percent}
-		changes = append(changes, wire.RunRow{Task: task, Run: local.run, Percent: uint8(a.paces.percent)})
 	}
-	for task := range a.paces.applied {
-		if a.runs[task] == nil {
-			delete(a.paces.applied, task)
+}
+
+// worstPressure returns the highest pressure of one core of a filler on the runs.
+func (p *pacer) worstPressure(serving []servingRun, filler fillerRun) float64 {
+	worst := 0.0
+	for _, s := range serving {
+		worst = max(worst, p.model.Pair(s.image, filler.image))
+	}
+	return worst
+}
+
+// set brings a filler towards a pace and returns its new one.
+func (p *pacer) set(now time.Duration, filler fillerRun, percent int) int {
+	current := p.paces[filler.task]
+	percent = min(percent, current.percent+paceStep, fullPace)
+	if percent < lowestPace {
+		percent = 0
+	}
+	if percent < heldPace && current.percent >= heldPace {
+		current.heldSince = now
+	}
+	current.percent = percent
+	return percent
+}
+
+// changes returns the fillers whose pace has to be sent, with it, and takes them as sent.
+func (p *pacer) changes(fillers []fillerRun) []paceChange {
+	var result []paceChange
+	for _, filler := range fillers {
+		current := p.paces[filler.task]
+		if current != nil && current.percent != current.applied {
+			current.applied = current.percent
+			result = append(result, paceChange{fillerRun: filler, percent: current.percent})
 		}
 	}
-	return changes
+	return result
+}
+
+// paceChange is a pace to be sent to the worker.
+type paceChange struct {
+	fillerRun
+	percent int
+}
+
+// failed takes in that a pace may not have reached the worker.
+func (p *pacer) failed(change paceChange) {
+	if current := p.paces[change.task]; current != nil && current.run == change.run && current.applied == change.percent {
+		current.applied = -1
+	}
+}
+
+// held returns how long the filler has worked at less than heldPace.
+func (p *pacer) held(task string, now time.Duration) time.Duration {
+	current := p.paces[task]
+	if current == nil || current.percent >= heldPace {
+		return 0
+	}
+	return now - current.heldSince
 }
--- /dev/null
+++ b/internal/runner/sharing.go
@@ -0,0 +1,132 @@
+package runner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"clementineflow/internal/interference"
+	"clementineflow/internal/wire"
+)
+
+// sharingLocked reports whether runs with a latency target share the worker with fillers.
+func (a *Agent) sharingLocked() bool {
+	serving, filling := false, false
+	for _, local := range a.runs {
+		if local.order != nil {
+			serving = serving || local.order.LatencyTargetMillis > 0
+			filling = filling || local.order.Filler
+		}
+	}
+	return serving && filling
+}
+
+// adjustPaces takes in the latencies of a look and paces the fillers.
+func (a *Agent) adjustPaces(ctx context.Context, look Look) {
+	a.mu.Lock()
+	a.servingNow = a.servingLocked(look)
+	fillers := a.fillersLocked()
+	a.paces.adjust(a.config.Now(), a.servingNow, fillers)
+	changes := a.paces.changes(fillers)
+	target := a.targetLocked()
+	a.mu.Unlock()
+	for _, change := range changes {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := a.config.Worker.Pace(call, target, change.task, change.run, change.percent)
+		cancel()
+		if err != nil {
+			a.mu.Lock()
+			a.paces.failed(change)
+			a.mu.Unlock()
+		}
+	}
+}
+
+// servingLocked returns the runs with a latency target in the look.
+func (a *Agent) servingLocked(look Look) []servingRun {
+	var serving []servingRun
+	for i := range look.Runs {
+		state := &look.Runs[i]
+		local := a.runs[state.Task]
+		if local == nil || local.order == nil || local.run != state.Run || local.order.LatencyTargetMillis == 0 {
+			continue
+		}
+		serving = append(serving, servingRun{
+			task: state.Task, image: local.order.Image, share: float64(state.Figure) / float64(local.order.LatencyTargetMillis),
+		})
+	}
+	return serving
+}
+
+// fillersLocked returns the fillers on the worker, in a fixed order.
+func (a *Agent) fillersLocked() []fillerRun {
+	var fillers []fillerRun
+	for task, local := range a.runs {
+		if local.order != nil && local.order.Filler && local.settled && !local.stopping {
+			fillers = append(fillers, fillerRun{
+				task: task, run: local.run, image: local.order.Image,
+				cores: float64(local.order.MilliCPU) / milliCores,
+			})
+		}
+	}
+	slices.SortFunc(fillers, func(x, y fillerRun) int { return cmp.Compare(x.task, y.task) })
+	return fillers
+}
+
+// reportProgress tells the coordinator how far the runs are and how they share the worker.
+func (a *Agent) reportProgress() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil || len(a.runs) == 0 || !a.complete {
+		return
+	}
+	now := a.config.Now()
+	report := &wire.RunProgress{WorkerID: a.worker.ID, Born: a.worker.Born}
+	for task, local := range a.runs {
+		row := local.row
+		row.Task, row.Run = task, local.run
+		if row.Percent > 0 || row.Saved != "" {
+			report.Runs = append(report.Runs, row)
+		}
+		if held := a.paces.held(task, now); held > 0 {
+			report.Held = append(report.Held, wire.HeldRow{Task: task, Run: local.run, Millis: held.Milliseconds()})
+		}
+	}
+	report.Pressures = a.paces.pressures(a.servingNow, a.fillersLocked())
+	for _, s := range a.servingNow {
+		report.Loads = append(report.Loads, wire.LoadRow{Task: s.task, Load: float32(a.paces.model.Load(s.task))})
+	}
+	if len(report.Runs) > 0 || len(report.Loads) > 0 {
+		a.sendLocked(report)
+	}
+}
+
+// pressures returns what was learned of the images that share the worker now.
+func (p *pacer) pressures(serving []servingRun, fillers []fillerRun) []wire.PressureRow {
+	var rows []wire.PressureRow
+	seen := map[interference.Pair]bool{}
+	for _, s := range serving {
+		for _, filler := range fillers {
+			pair := interference.Pair{Class: s.image, Neighbour: filler.image}
+			estimate := p.model.Estimate(pair)
+			if estimate.Samples == 0 || seen[pair] {
+				continue
+			}
+			seen[pair] = true
+			rows = append(rows, wire.PressureRow{
+				Serving: pair.Class, Filler: pair.Neighbour,
+				Value: float32(estimate.Value), Samples: float32(estimate.Samples),
+			})
+		}
+	}
+	return rows
+}
+
+// adopt takes over what other agents learned of a filler's image.
+func (p *pacer) adopt(rows []wire.PressureRow) {
+	for _, row := range rows {
+		p.model.Adopt(interference.Pair{Class: row.Serving, Neighbour: row.Filler}, interference.PressureEstimate{
+			Value: float64(row.Value), Samples: float64(row.Samples),
+		})
+	}
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -36,6 +36,7 @@
 		a.sendLocked(&wire.RunAbsent{WorkerID: order.WorkerID, Born: order.Born, Task: order.Task, Run: order.Run, Reason: reason})
 		return
 	}
+	a.paces.adopt(order.Pressures)
 	local := &localRun{run: order.Run, order: order}
 	a.runs[order.Task] = local
 	issued, _ := a.pings.sentAt(order.LastPing)
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -137,6 +137,8 @@
 	Image               string `cbor:"10,keyasint,omitempty"`
 	// MilliCPU is what the run reserves, or may use if it is a filler.
 	MilliCPU int64 `cbor:"11,keyasint,omitempty"`
+	// Pressures is what is known of how a filler presses the runs on the worker.
+	Pressures []PressureRow `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind implements Message.
@@ -190,10 +192,38 @@
 	WorkerID string   `cbor:"1,keyasint"`
 	Born     int64    `cbor:"2,keyasint"`
 	Runs     []RunRow `cbor:"3,keyasint"`
-	// IdleMilliCPU is what the reserved runs leave unused, by the worker's latest figures.
-	IdleMilliCPU int64 `cbor:"4,keyasint,omitempty"`
-	// Pressed is set while fillers are held back for a run with a latency target.
-	Pressed bool `cbor:"5,keyasint,omitempty"`
+	// Pressures is what the agent learned of the images that share the worker.
+	Pressures []PressureRow `cbor:"4,keyasint,omitempty"`
+	// Held are the fillers that are held back for runs with a latency target.
+	Held []HeldRow `cbor:"5,keyasint,omitempty"`
+	// Loads are the own loads of the runs with a latency target.
+	Loads []LoadRow `cbor:"6,keyasint,omitempty"`
+}
+
+// LoadRow is the own load of a run with a latency target, between 0 and 1.
+type LoadRow struct {
+	_    struct{} `cbor:",toarray"`
+	Task string
+	Load float32
+}
+
+// PressureRow is how much one core of a filler presses a run with a latency target, by image.
+type PressureRow struct {
+	_       struct{} `cbor:",toarray"`
+	Serving string
+	Filler  string
+	Value   float32
+	// Samples is the number of samples behind the value.
+	Samples float32
+}
+
+// HeldRow is a filler that is held back.
+type HeldRow struct {
+	_    struct{} `cbor:",toarray"`
+	Task string
+	Run  uint32
+	// Millis is how long it has been held back.
+	Millis int64
 }
 
 // Kind implements Message.
