Let starts and stops outlive the link on which they were ordered

Change: starts and stops live as long as the agent; a new life is reported as not ready at once; a refused start keeps its worker out of placement for 300 ms.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -52,7 +52,7 @@
 // fits reports whether the worker may and can take the task now.
 func (p *Planner) fits(r ref, a *agent, sameStep int) bool {
 	definition := r.definition()
-	if !p.allowed(r.entry, r.step, a) || p.now < a.roomPenaltyEnds || a.suspected(p.now) {
+	if !p.allowed(r.entry, r.step, a) || p.now < a.penaltyEnds || a.suspected(p.now) {
 		return false
 	}
 	if definition.MaxPerWorker > 0 && sameStep >= definition.MaxPerWorker {
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -5,13 +5,8 @@
 	"clementineflow/internal/wire"
 )
 
-// Reasons of a RunAbsent that the planner tells apart.
-const (
-	// ReasonRoom is a start that the worker rejected for want of room.
-	ReasonRoom = "room"
-	// ReasonUnanswered is a start that the worker never answered.
-	ReasonUnanswered = "unanswered"
-)
+// ReasonUnanswered is the reason of a RunAbsent for a start that the worker never answered.
+const ReasonUnanswered = "unanswered"
 
 // Ended takes in listed ends of runs.
 func (p *Planner) Ended(agentName string, report *wire.RunEnded) {
@@ -116,11 +111,9 @@
 		return
 	}
 	p.log("run is absent", "task", report.Task, "run", report.Run, "agent", agentName, "reason", report.Reason)
-	switch report.Reason {
-	case ReasonRoom:
-		a.roomPenaltyEnds = p.now + roomPenalty
-	case ReasonUnanswered:
-		a.roomPenaltyEnds = p.now + suspectPeriod
+	a.penaltyEnds = p.now + refusalPenalty
+	if report.Reason == ReasonUnanswered {
+		a.penaltyEnds = p.now + suspectPeriod
 	}
 	p.release(r)
 	r.run().avoid = agentName
--- a/internal/planner/timing.go
+++ b/internal/planner/timing.go
@@ -14,8 +14,8 @@
 }
 
 const (
-	// roomPenalty is how long no task is placed on a worker that rejected one for want of room.
-	roomPenalty = 300 * time.Millisecond
+	// refusalPenalty is how long no task is placed on a worker that did not take one.
+	refusalPenalty = 300 * time.Millisecond
 	// suspectAfter is the number of failed runs in a row after which a worker is suspected.
 	suspectAfter = 3
 	// suspectPeriod is how long a suspected worker gets no task before it is tried with one again.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -33,11 +33,11 @@
 	// servingCPU is the part of reserved that belongs to tasks with a latency target.
 	servingCPU int64
 
-	roomPenaltyEnds time.Duration
-	failuresInRow   int
-	suspectEnds     time.Duration
-	suspectPeriod   time.Duration
-	probing         bool
+	penaltyEnds   time.Duration
+	failuresInRow int
+	suspectEnds   time.Duration
+	suspectPeriod time.Duration
+	probing       bool
 }
 
 // hasLabel reports whether the worker has the label; the empty label is on every worker.
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -29,6 +29,10 @@
 type Agent struct {
 	config Config
 	group  *conc.WaitGroup
+	// lifetime ends with Run. Starts and stops outlive the link on which they were ordered: the next
+	// coordinator sees them in the agent's report.
+	lifetime context.Context
+	end      context.CancelFunc
 
 	mu sync.Mutex
 	// worker is the latest description; its ID is empty while no worker is known.
@@ -79,7 +83,9 @@
 
 // New returns an agent that knows no worker yet.
 func New(config Config) *Agent {
+	lifetime, end := context.WithCancel(context.Background())
 	return &Agent{
+		lifetime: lifetime, end: end,
 		config: config, group: conc.NewWaitGroup(),
 		// A former life of the agent may have extended the lease as far as its authority went.
 		lease: runLease{term: config.LeaseTerm, limit: config.Now() + config.Authority},
@@ -100,6 +106,7 @@
 		conn.Close()
 	}
 	a.handOver()
+	a.end()
 	a.group.Wait()
 }
 
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -40,6 +40,8 @@
 	}
 	a.worker = Description{ID: d.ID, Born: d.Born}
 	a.resetLifeLocked()
+	// Nothing can start until the new life has been looked at; the coordinator is told so.
+	a.reportLocked()
 	a.wakeLocked()
 }
 
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -27,7 +27,7 @@
 			a.config.Logger.Warn("link of the coordinator ended", "term", hello.Term, "error", err)
 			return
 		}
-		a.handle(ctx, conn, message)
+		a.handle(conn, message)
 	}
 }
 
@@ -77,7 +77,7 @@
 }
 
 // handle takes in a message of the coordinator.
-func (a *Agent) handle(ctx context.Context, conn link.Conn, message wire.Message) {
+func (a *Agent) handle(conn link.Conn, message wire.Message) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.conn != conn {
@@ -94,9 +94,9 @@
 			a.wakeLocked()
 		}
 	case *wire.StartRun:
-		a.startLocked(ctx, message)
+		a.startLocked(message)
 	case *wire.StopRun:
-		a.stopLocked(ctx, message)
+		a.stopLocked(message)
 	default:
 		a.config.Logger.Warn("unexpected message of the coordinator", "kind", message.Kind())
 	}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -25,7 +25,7 @@
 
 // startLocked carries out a start order. An order for a run that is known already only tells again how
 // the run shares the worker.
-func (a *Agent) startLocked(ctx context.Context, order *wire.StartRun) {
+func (a *Agent) startLocked(order *wire.StartRun) {
 	if local := a.runs[order.Task]; local != nil && local.run >= order.Run {
 		if local.run == order.Run && local.order == nil {
 			local.order = order
@@ -41,7 +41,7 @@
 	local := &localRun{run: order.Run, order: order}
 	a.runs[order.Task] = local
 	issued, _ := a.pings.sentAt(order.LastPing)
-	a.group.Go(func() { a.start(ctx, local, issued+maxOrderAge) })
+	a.group.Go(func() { a.start(a.lifetime, local, issued+maxOrderAge) })
 }
 
 // refuseLocked reports a run of an order that is not carried out as absent.
@@ -155,7 +155,7 @@
 	a.config.Logger.Info("run started", "task", local.order.Task, "run", local.run, "worker", a.worker.ID)
 	if local.stopping {
 		task, run := local.order.Task, local.run
-		a.group.Go(func() { a.stop(context.Background(), task, run) })
+		a.group.Go(func() { a.stop(a.lifetime, task, run) })
 	}
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -9,7 +9,7 @@
 )
 
 // stopLocked carries out a stop order.
-func (a *Agent) stopLocked(ctx context.Context, order *wire.StopRun) {
+func (a *Agent) stopLocked(order *wire.StopRun) {
 	if order.WorkerID != a.worker.ID || order.Born != a.worker.Born {
 		a.refuseLocked(order.WorkerID, order.Born, order.Task, order.Run, reasonLife)
 		return
@@ -21,7 +21,7 @@
 	if local == nil || local.run != order.Run {
 		local = &localRun{run: order.Run, settled: true, order: &wire.StartRun{Task: order.Task, Run: order.Run}}
 		if known := a.runs[order.Task]; known != nil {
-			a.group.Go(func() { a.stop(ctx, order.Task, order.Run) })
+			a.group.Go(func() { a.stop(a.lifetime, order.Task, order.Run) })
 			return
 		}
 		a.runs[order.Task] = local
@@ -31,7 +31,7 @@
 	}
 	local.stopping = true
 	if local.settled {
-		a.group.Go(func() { a.stopAndSettle(ctx, local, order.Task) })
+		a.group.Go(func() { a.stopAndSettle(a.lifetime, local, order.Task) })
 	}
 }
 
