Verify the worker's life before using its clock; repeat orders without a sign

Cause (histories): a hold that reached the next life of a worker carried a due time of the former clock and leased the new life for far longer than the agent and the coordinator believed; orders that were lost with a silent link were never repeated. Change: after any call without an answer the agent looks before it extends leases, confirms ends or starts runs; the stand-in breaks connections with a life; the planner repeats orders that show no sign for 3 s. Ruled out: a longer wait before tasks of lost workers move (10 s in place of 5 s), since lasting work would stand still for longer.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -149,6 +149,7 @@
 // noteProgress takes in how far a run is.
 func (p *Planner) noteProgress(r ref, row *wire.RunRow) {
 	r.entry.startedAny = true
+	r.run().seen = true
 	r.run().percent = row.Percent
 	if row.Saved != "" {
 		r.task().Saved = row.Saved
@@ -208,10 +209,34 @@
 		if a.up && a.leaving && p.now >= a.leaveAt-noticeBeforeLeave {
 			p.evict(a)
 		}
+		if a.up && a.ready {
+			p.repeatOrders(a)
+		}
 	}
 	p.active = slices.DeleteFunc(p.active, func(e *entry) bool { return e.progress.State.Final() })
 }
 
+// repeatOrders sends again what a worker has not answered for long: an order can get lost with a link that
+// fell silent. Both kinds of orders are idempotent.
+func (p *Planner) repeatOrders(a *agent) {
+	var late []ref
+	for r := range p.lives[a.life] {
+		current := r.run()
+		if current.ordered && (current.stopping || !current.seen) && p.now-current.orderAt > orderTimeout {
+			late = append(late, r)
+		}
+	}
+	slices.SortFunc(late, compareRefs)
+	for _, r := range late {
+		p.log("order repeated", "task", r.name(), "run", r.task().Run, "agent", a.name, "stop", r.run().stopping)
+		if r.run().stopping || r.entry.progress.State.Final() {
+			p.stop(r)
+		} else {
+			p.order(r)
+		}
+	}
+}
+
 // evict stops the runs on a leaving worker, so that they resume elsewhere from their checkpoints.
 func (p *Planner) evict(a *agent) {
 	for r := range p.lives[a.life] {
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -152,6 +152,7 @@
 func (p *Planner) stop(r ref) {
 	task := r.task()
 	r.run().stopping = true
+	r.run().orderAt = p.now
 	p.orders = append(p.orders, Order{Agent: task.Worker.Agent, Message: &wire.StopRun{
 		Task: r.name(), Run: task.Run, WorkerID: task.Worker.ID, Born: task.Worker.Born,
 	}})
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -33,8 +33,11 @@
 	ordered bool
 	// stopping is set once the run was told to stop.
 	stopping bool
-	orderAt  time.Duration
-	percent  uint8
+	// orderAt is when the latest order about the run was sent.
+	orderAt time.Duration
+	// seen is set once the agent has reported the run.
+	seen    bool
+	percent uint8
 	// load is the own load of a run with a latency target, or zero if it was not reported.
 	load float64
 	// waitingSince is when the task last became ready to be placed.
--- a/internal/planner/timing.go
+++ b/internal/planner/timing.go
@@ -16,6 +16,8 @@
 const (
 	// refusalPenalty is how long no task is placed on a worker that did not take one.
 	refusalPenalty = 300 * time.Millisecond
+	// orderTimeout is how long an order may go without any sign of it before it is repeated.
+	orderTimeout = 3 * time.Second
 	// suspectAfter is the number of failed runs in a row after which a worker is suspected.
 	suspectAfter = 3
 	// suspectPeriod is how long a suspected worker gets no task before it is tried with one again.
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -67,8 +67,9 @@
 		// A silent worker is only looked at: once its lease has ended, its runs can go on elsewhere.
 		request.Wait = 0
 	}
-	if !a.complete {
-		request.Wait = 0
+	if !a.complete || !a.verified {
+		// A life that was not looked at may not be the one that the clock was read from.
+		request.Wait, request.Due = 0, 0
 	}
 	return request, confirmWait, true
 }
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -85,9 +85,7 @@
 	for task, local := range a.runs {
 		row := local.row
 		row.Task, row.Run = task, local.run
-		if row.Percent > 0 || row.Saved != "" {
-			report.Runs = append(report.Runs, row)
-		}
+		report.Runs = append(report.Runs, row)
 		if held := a.paces.held(task, now); held > 0 {
 			report.Held = append(report.Held, wire.HeldRow{Task: task, Run: local.run, Millis: held.Milliseconds()})
 		}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -103,7 +103,7 @@
 		Payload: order.Payload, Saved: order.Saved, Due: due,
 	}
 	gone := a.runs[order.Task] != local
-	leaving, stopping := a.worker.Leaving, local.stopping
+	leaving, stopping, verified := a.worker.Leaving, local.stopping, a.verified
 	a.mu.Unlock()
 	switch {
 	case gone:
@@ -117,6 +117,8 @@
 			return planner.ReasonUnanswered
 		}
 		return reasonExpired
+	case !verified:
+		return reasonRetry
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -136,15 +138,27 @@
 		return reasonLife
 	case errors.Is(err, ErrInvalid):
 		return reasonInvalid
-	case errors.Is(err, ErrBusy), errors.Is(err, ErrNotSent):
+	case errors.Is(err, ErrBusy):
+		return reasonRetry
+	case errors.Is(err, ErrNotSent):
+		a.distrust()
 		return reasonRetry
 	default:
+		a.distrust()
 		a.config.Logger.Info("start not answered", "task", local.order.Task, "run", local.run, "error", err)
 		*unanswered = true
 		return reasonRetry
 	}
 }
 
+// distrust notes a call without an answer: the worker may have begun a new life, so nothing that depends
+// on its clock or its numbers is sent until a look has reached the known life again.
+func (a *Agent) distrust() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.verified = false
+}
+
 // started notes a run that the worker has confirmed.
 func (a *Agent) started(local *localRun, clock time.Duration) {
 	a.mu.Lock()
--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -72,9 +72,11 @@
 	wake      chan struct{}
 	down      bool
 	silent    bool
-	late      int
-	lateness  time.Duration
-	reason    string
+	// broken is set while the agent's connections are those of the former life: the first call finds out.
+	broken   bool
+	late     int
+	lateness time.Duration
+	reason   string
 }
 
 // New returns a worker that begins its first life.
@@ -95,6 +97,7 @@
 	w.ends, w.lastEnd, w.lapsedEnd = nil, 0, 0
 	w.wake = make(chan struct{})
 	w.down = false
+	w.broken = w.born > 1
 }
 
 // Describe returns the worker's description for its agent, and false while it is down.
@@ -160,6 +163,9 @@
 		return false, runner.ErrNotSent
 	case w.silent:
 		return false, errNoAnswer
+	case w.broken:
+		w.broken = false
+		return false, errNoAnswer
 	case id != w.config.ID:
 		return false, runner.ErrOtherLife
 	case w.late > 0:
