--- a/internal/runner/ends.go
+++ b/internal/runner/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"clementineflow/internal/wire"
 )
@@ -9,6 +10,8 @@
 // endList holds the ends of one life of the worker that are not confirmed to it yet.
 type endList struct {
 	rows map[uint64]wire.EndRow
+	// reportedAt is when the unrecorded ends were last reported.
+	reportedAt time.Duration
 	// recorded marks the ends that the coordinator has recorded.
 	recorded map[uint64]bool
 	// confirmedUpTo is the highest number of which all ends are recorded.
@@ -51,6 +54,11 @@
 	}
 }
 
+// unrecorded returns the ends that the coordinator has not recorded.
+func (l *endList) unrecorded() []wire.EndRow {
+	return slices.DeleteFunc(l.pending(), func(row wire.EndRow) bool { return l.recorded[row.Number] })
+}
+
 // pending returns the ends that are not confirmed, by number.
 func (l *endList) pending() []wire.EndRow {
 	rows := make([]wire.EndRow, 0, len(l.rows))
@@ -70,3 +78,19 @@
 	}
 	return false
 }
+
+// repeatEndsLocked reports ends again that were not recorded for long: a report can get lost with a link
+// that fell silent.
+func (a *Agent) repeatEndsLocked() {
+	now := a.config.Now()
+	late := a.ends.unrecorded()
+	if len(late) == 0 || now-a.ends.reportedAt < endsTimeout {
+		if len(late) == 0 {
+			a.ends.reportedAt = now
+		}
+		return
+	}
+	a.ends.reportedAt = now
+	a.config.Logger.Info("ends reported again", "ends", len(late))
+	a.sendLocked(&wire.RunEnded{WorkerID: a.worker.ID, Born: a.worker.Born, Ends: late})
+}
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -77,7 +77,11 @@
 func (a *Agent) reportProgress() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn == nil || len(a.runs) == 0 || !a.complete {
+	if a.conn == nil || !a.complete {
+		return
+	}
+	a.repeatEndsLocked()
+	if len(a.runs) == 0 {
 		return
 	}
 	now := a.config.Now()
--- a/internal/runner/timing.go
+++ b/internal/runner/timing.go
@@ -28,6 +28,8 @@
 	silenceBound = 2200 * time.Millisecond
 	// refusedBound is how long the worker must refuse connections before it counts as dead.
 	refusedBound = 500 * time.Millisecond
+	// endsTimeout is how long ends may go unrecorded before they are reported again.
+	endsTimeout = 2 * time.Second
 	// progressInterval is the time between two progress reports.
 	progressInterval = time.Second
 	// pingHistory bounds the pings whose send times are remembered.
