Check the operator's decisions before an assigned start is repeated

Change: a run that is no longer allowed on its worker is stopped there and placed anew; without a configuration nothing is repeated.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -113,11 +113,23 @@
 	}
 	slices.SortFunc(missing, compareRefs)
 	for _, r := range missing {
-		if r.entry.progress.State.Final() || r.run().stopping {
-			p.stop(r)
-		} else {
-			p.order(r)
-		}
+		p.resend(r, a)
+	}
+}
+
+// resend repeats the order about a run that the worker does not show. A run that the operator's decisions
+// no longer allow there is stopped instead, and then goes elsewhere.
+func (p *Planner) resend(r ref, a *agent) {
+	switch {
+	case r.entry.progress.State.Final() || r.run().stopping:
+		p.stop(r)
+	case p.operator.Config == nil:
+		// Without a configuration nothing may start; the order is repeated later.
+	case !p.allowed(r.entry, r.step, a):
+		p.log("assigned run is no longer allowed on its worker", "task", r.name(), "run", r.task().Run, "agent", a.name, "zone", a.zone)
+		p.stop(r)
+	default:
+		p.order(r)
 	}
 }
 
@@ -229,11 +241,7 @@
 	slices.SortFunc(late, compareRefs)
 	for _, r := range late {
 		p.log("order repeated", "task", r.name(), "run", r.task().Run, "agent", a.name, "stop", r.run().stopping)
-		if r.run().stopping || r.entry.progress.State.Final() {
-			p.stop(r)
-		} else {
-			p.order(r)
-		}
+		p.resend(r, a)
 	}
 }
 
