Keep serving runs of one image together, so that fillers can avoid them

Change: a worker is rated by the serving runs on it: up for the same image, down for another. Ruled out by trials: ordering fillers by what they can still reach and by deadline.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -13,6 +13,9 @@
 	// headroomWeight weighs the headroom that a filler leaves to runs with a latency target against a
 	// worker's idle share.
 	headroomWeight = 3
+	// sameImageWeight and otherImageWeight rate each run with a latency target on a worker for another one.
+	sameImageWeight  = 0.5
+	otherImageWeight = 0.5
 	// patiencePerSecond is how much headroom a filler may lack for each second that it has waited.
 	patiencePerSecond = 0.3
 )
@@ -93,12 +96,31 @@
 	if definition.Filler {
 		score += headroomWeight * p.headroom(r, a)
 	}
+	if definition.LatencyTarget > 0 {
+		score += p.company(r, a)
+	}
 	if a.name == r.run().avoid {
 		score -= 4
 	}
 	return score
 }
 
+// company rates a worker for a run with a latency target: runs of one image are kept together, so that
+// fillers which press them find other workers.
+func (p *Planner) company(r ref, a *agent) float64 {
+	score := 0.0
+	for other := range p.lives[a.life] {
+		switch {
+		case other.definition().LatencyTarget == 0:
+		case other.definition().Image == r.definition().Image:
+			score += sameImageWeight
+		default:
+			score -= otherImageWeight
+		}
+	}
+	return score
+}
+
 // Assigned returns the number of tasks assigned to the agent's worker, for metrics and tests.
 func (p *Planner) Assigned(agentName string) int {
 	count := 0
