--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -14,7 +14,10 @@
 
 // Submit stores a job and returns what to tell the caller. The job's ID, payload and steps are set.
 func (g *Gateway) Submit(ctx context.Context, host, path string, spec *job.Spec) Reply {
-	if err := spec.Validate(); err != nil {
+	switch err := spec.Validate(); {
+	case errors.Is(err, job.ErrUnsupported):
+		return g.refuse(spec.ID, Refused, err.Error())
+	case err != nil:
 		return g.refuse(spec.ID, Invalid, err.Error())
 	}
 	began := time.Now()
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -18,9 +18,9 @@
 	// paceStep bounds how much a pace rises at a time; it falls without a bound.
 	paceStep = 40
 	// aimedShare is the share of a latency target that fillers may bring a run to.
-	aimedShare = 1.0
+	aimedShare = 0.8
 	// maxOver is how long a run may be over its target before all fillers that press it stand still.
-	maxOver = 1500 * time.Millisecond
+	maxOver = 900 * time.Millisecond
 	// relevantPressure is the expected pressure of a filler above which it counts as pressing.
 	relevantPressure = 0.01
 	// fallingFactor tells a latency that falls: the worker's figures still contain the former ones, so
