--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -241,6 +241,12 @@
 	for _, decision := range t.planner.TakeEvents() {
 		t.config.Logger.Info(decision.Message, decision.Fields...)
 	}
+	for _, timings := range t.planner.TakeTimings() {
+		placingSeconds.Update(timings.Placing.Seconds())
+		if timings.HandIn >= 0 {
+			handInSeconds.Update(timings.HandIn.Seconds())
+		}
+	}
 	for _, order := range t.planner.TakeOrders() {
 		t.send(order)
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -21,6 +21,26 @@
 	Invalid Outcome = 6
 )
 
+// String returns the outcome's name in logs.
+func (o Outcome) String() string {
+	switch o {
+	case Accepted:
+		return "accepted"
+	case Refused:
+		return "refused"
+	case Unknown:
+		return "unknown"
+	case NoQueue:
+		return "no queue"
+	case NoJob:
+		return "no job"
+	case Invalid:
+		return "invalid"
+	default:
+		return "other"
+	}
+}
+
 // Reply is the answer to a submission or a cancellation.
 type Reply struct {
 	Outcome Outcome
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -118,8 +118,8 @@
 	task.Phase = job.PhaseAssigned
 	task.Run++
 	task.Worker = a.life
-	avoid := r.run().avoid
-	*r.run() = run{avoid: avoid}
+	avoid, since := r.run().avoid, r.run().waitingSince
+	*r.run() = run{avoid: avoid, waitingSince: since}
 	p.hold(r, a.life)
 	if a.failuresInRow >= suspectAfter {
 		a.probing = true
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -129,9 +129,21 @@
 	p.removable = append(p.removable, c.Remove...)
 }
 
+// noteTimings notes the delays of the first order of a run.
+func (p *Planner) noteTimings(r ref) {
+	timings := Timings{Placing: p.now - r.run().waitingSince, HandIn: -1}
+	if !r.entry.startedAny {
+		timings.HandIn = p.now - r.entry.knownSince
+	}
+	p.timings = append(p.timings, timings)
+}
+
 // order sends the start order of an assigned run.
 func (p *Planner) order(r ref) {
 	task, current, definition := r.task(), r.run(), r.definition()
+	if !current.ordered {
+		p.noteTimings(r)
+	}
 	current.ordered = true
 	current.orderAt = p.now
 	r.entry.startedAny = true
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -26,6 +26,7 @@
 	dirty     []*entry
 	orders    []Order
 	events    []Event
+	timings   []Timings
 	pressures pressureTable
 	// active lists the jobs that are not final, oldest first.
 	active []*entry
@@ -60,6 +61,22 @@
 	return events
 }
 
+// Timings are the delays of the first order of a task, for metrics.
+type Timings struct {
+	// Placing is the time from when the task could first be placed to its order.
+	Placing time.Duration
+	// HandIn is the time from when the planner learned of the job to its first order; it is negative for
+	// orders after the first.
+	HandIn time.Duration
+}
+
+// TakeTimings returns the delays of the orders since the last call.
+func (p *Planner) TakeTimings() []Timings {
+	timings := p.timings
+	p.timings = nil
+	return timings
+}
+
 func (p *Planner) log(message string, fields ...any) {
 	p.events = append(p.events, Event{Message: message, Fields: fields})
 }
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/job"
 	"clementineflow/internal/wire"
 )
 
@@ -151,7 +152,7 @@
 	fresh := a.ends.add(ends)
 	for i := range fresh {
 		row := &fresh[i]
-		a.config.Logger.Info("run ended", "task", row.Task, "run", row.Run, "number", row.Number, "outcome", row.Outcome)
+		a.config.Logger.Info("run ended", "task", row.Task, "run", row.Run, "number", row.Number, "outcome", job.Outcome(row.Outcome))
 		if local := a.runs[row.Task]; local != nil && local.run == row.Run {
 			delete(a.runs, row.Task)
 		}
--- a/internal/runner/pace_test.go
+++ b/internal/runner/pace_test.go
@@ -33,8 +33,10 @@
 	return &sharedWorker{
 		pacer: newPacer(), random: rand.New(rand.NewPCG(seed, 3)), worked: map[string]float64{},
 		fillers: []fillerRun{
-			{task: "a", run: 1, image: "heavy", cores: 2}, {task: "b", run: 1, image: "heavy", cores: 2},
-			{task: "c", run: 1, image: "heavy", cores: 2}, {task: "d", run: 1, image: "light", cores: 2},
+			{task: "a", run: 1, image: "heavy", cores: 2},
+			{task: "b", run: 1, image: "heavy", cores: 2},
+			{task: "c", run: 1, image: "heavy", cores: 2},
+			{task: "d", run: 1, image: "light", cores: 2},
 		},
 	}
 }
--- a/test/jobs/history_test.go
+++ b/test/jobs/history_test.go
@@ -157,7 +157,11 @@
 // disturbStore changes how the store behaves towards one entry.
 func (h *history) disturbStore(e *entryProcess) {
 	faults := []kvstore.Faults{
-		{}, {Down: true}, {DelayMillis: 300}, {LoseAnswerPercent: 40}, {LateWrites: 3, LateWriteMillis: 3000},
+		{},
+		{Down: true},
+		{DelayMillis: 300},
+		{LoseAnswerPercent: 40},
+		{LateWrites: 3, LateWriteMillis: 3000},
 		{AnswerDelayMillis: 500},
 	}
 	e.faulty.SetFaults(faults[h.random.IntN(len(faults))])
@@ -194,7 +198,8 @@
 			continue
 		}
 		_, cancelled := h.ledger.cancelled[id]
-		if state != job.StateDone && !(cancelled && state == job.StateCancelled) {
+		ended := state == job.StateDone || cancelled && state == job.StateCancelled
+		if !ended {
 			h.t.Errorf("%s was accepted and is %s", id, state)
 		}
 	}
--- a/test/jobs/network_test.go
+++ b/test/jobs/network_test.go
@@ -36,7 +36,7 @@
 	}
 	for conn := range n.conns {
 		if conn.from == address || conn.to == address {
-			conn.Conn.Close()
+			conn.Close()
 			delete(n.conns, conn)
 		}
 	}
