--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -76,7 +76,6 @@
 	broken   bool
 	late     int
 	lateness time.Duration
-	reason   string
 }
 
 // New returns a worker that begins its first life.
