--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// TestReference guards against a key that docs/operations.md lacks, or documents although it does not
+// TestReference guards against a key that docs/OPERATIONS.md lacks, or documents although it does not
 // exist. The known keys are taken from the faults of an unknown key in each section.
 func TestReference(t *testing.T) {
 	is := is.New(t)
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	documented := map[string]bool{}
 	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\| (?:both|entry|agent) \\|").FindAllStringSubmatch(string(page), -1) {
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -100,9 +100,14 @@
 }
 
 func newRegion(t *testing.T, entries, agents int, rate float64) *region {
+	return newRegionWithLog(t, entries, agents, rate, newLogger())
+}
+
+// newRegionWithLog returns a region whose processes write to the log.
+func newRegionWithLog(t *testing.T, entries, agents int, rate float64, logger *log.Logger) *region {
 	r := &region{
 		t: t, memory: kvstore.NewMemory(), network: newNetwork(), ledger: newLedger(),
-		logger: newLogger(), began: time.Now(),
+		logger: logger, began: time.Now(),
 		work: func(string) jobworker.Work {
 			return jobworker.Work{Duration: 700 * time.Millisecond, Need: resource.Quantity{MilliCPU: 1000}}
 		},
