Never report a run with an unrecorded end as absent; one path for stops

Change: an order for an ended run is answered with its end; nothing is answered before the agent has looked at its worker. Stops: one goroutine a run, no copies of runs.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -72,11 +72,16 @@
 
 // localRun is a run that is, or may be, on the worker.
 type localRun struct {
-	run      uint32
-	settled  bool
+	task string
+	run  uint32
+	// settled is set once the worker has shown the run or confirmed its start.
+	settled bool
+	// stopping is set once the run was told to stop, settling while that is carried out.
 	stopping bool
+	settling bool
 	row      wire.RunRow
-	order    *wire.StartRun
+	// order is the start order, or nil if the agent found the run on the worker.
+	order *wire.StartRun
 	// startedAt is the worker's clock when it confirmed the start.
 	startedAt time.Duration
 }
--- /dev/null
+++ b/internal/runner/agent_test.go
@@ -0,0 +1,113 @@
+package runner_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/link"
+	"clementineflow/internal/resource"
+	"clementineflow/internal/runner"
+	"clementineflow/internal/standin/jobworker"
+	"clementineflow/internal/wire"
+)
+
+// quiet is an observer that takes no notes.
+type quiet struct{}
+
+func (quiet) Started(string, string, uint32)                      {}
+func (quiet) Ended(string, string, uint32, job.Outcome)           {}
+func (quiet) Confirmed(string, string, uint32, job.Outcome, bool) {}
+
+const (
+	testTask  = "5c0e7a21d94b36f8.0.0.0"
+	taskTime  = 300 * time.Millisecond
+	agentName = "agent-0"
+)
+
+// linked runs an agent with a worker and hands the coordinator's end of its link to the test.
+func linked(t *testing.T, test func(is *is.I, conn link.Conn, w *jobworker.Worker)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		w := jobworker.New(jobworker.Config{
+			ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: quiet{},
+			Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskTime} },
+		})
+		agent := runner.New(runner.Config{
+			Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: 5 * time.Second,
+			Now: func() time.Duration { return time.Since(began) + time.Second }, Logger: log.New(io.Discard),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { agent.Run(ctx); close(done) }()
+		near, far := link.Pipe()
+		go agent.Serve(ctx, far)
+		if err := near.Send(&wire.TermHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
+			t.Fatal(err)
+		}
+		description, _ := w.Describe("north", 1)
+		agent.Describe(description)
+		test(is.New(t), near, w)
+		near.Close()
+		cancel()
+		<-done
+	})
+}
+
+// receive answers pings until a message other than a ping arrives, and returns it with the last ping.
+func receive(t *testing.T, conn link.Conn, skip ...wire.Kind) wire.Message {
+	t.Helper()
+	for {
+		message, err := conn.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ping, ok := message.(*wire.AgentPing); ok {
+			if err := conn.Send(&wire.PingReply{Sequence: ping.Sequence}); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		skipped := false
+		for _, kind := range skip {
+			skipped = skipped || message.Kind() == kind
+		}
+		if !skipped {
+			return message
+		}
+	}
+}
+
+// TestRepeatedStartOfAnEndedRun guards against a run that is reported as absent because its start order
+// came again, too old, after it had ended: the task would be done twice (history seed 5244).
+func TestRepeatedStartOfAnEndedRun(t *testing.T) {
+	linked(t, func(is *is.I, conn link.Conn, _ *jobworker.Worker) {
+		report := &wire.AgentReport{}
+		for !report.Complete {
+			report = receive(t, conn).(*wire.AgentReport)
+		}
+		order := &wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: 1}
+		is.NoErr(conn.Send(order))
+		ended := receive(t, conn, wire.KindRunProgress).(*wire.RunEnded)
+		is.Equal(ended.Ends[0].Task, testTask)
+		// The end stays unrecorded, and the same order comes again when it is too old to be carried out.
+		for began := time.Now(); time.Since(began) < 1700*time.Millisecond; {
+			again, ok := receive(t, conn, wire.KindRunProgress).(*wire.RunEnded)
+			if ok {
+				is.Equal(again.Ends[0].Run, uint32(1))
+				break
+			}
+		}
+		is.NoErr(conn.Send(order))
+		repeated, ok := receive(t, conn, wire.KindRunProgress).(*wire.RunEnded)
+		is.True(ok) // not RunAbsent
+		is.Equal(repeated.Ends[0].Number, uint64(1))
+	})
+}
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -170,7 +170,7 @@
 		}
 		local := a.runs[state.Task]
 		if local == nil || local.run < state.Run {
-			local = &localRun{run: state.Run}
+			local = &localRun{task: state.Task, run: state.Run}
 			a.runs[state.Task] = local
 			unknown = true
 		}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -32,13 +32,22 @@
 		}
 		return
 	}
+	if !a.complete {
+		// What runs is not known yet; the report that follows shows whether the order has to be repeated.
+		return
+	}
+	if a.ends.has(order.Task, order.Run) {
+		// The run has ended and its end is not recorded: it is neither absent nor to be started again.
+		a.sendLocked(&wire.RunEnded{WorkerID: a.worker.ID, Born: a.worker.Born, Ends: a.ends.unrecorded()})
+		return
+	}
 	if reason := a.refusalLocked(order); reason != "" {
 		a.config.Logger.Info("start not carried out", "task", order.Task, "run", order.Run, "reason", reason)
 		a.refuseLocked(order.WorkerID, order.Born, order.Task, order.Run, reason)
 		return
 	}
 	a.paces.adopt(order.Pressures)
-	local := &localRun{run: order.Run, order: order}
+	local := &localRun{task: order.Task, run: order.Run, order: order}
 	a.runs[order.Task] = local
 	issued, _ := a.pings.sentAt(order.LastPing)
 	a.group.Go(func() { a.start(a.lifetime, local, issued+maxOrderAge) })
@@ -145,7 +154,7 @@
 		return reasonRetry
 	default:
 		a.distrust()
-		a.config.Logger.Info("start not answered", "task", local.order.Task, "run", local.run, "error", err)
+		a.config.Logger.Info("start not answered", "task", local.task, "run", local.run, "error", err)
 		*unanswered = true
 		return reasonRetry
 	}
@@ -166,21 +175,20 @@
 	local.settled = true
 	local.startedAt = clock
 	a.lease.observe(clock, a.config.Now())
-	a.config.Logger.Info("run started", "task", local.order.Task, "run", local.run, "worker", a.worker.ID)
-	if local.stopping {
-		task, run := local.order.Task, local.run
-		a.group.Go(func() { a.stop(a.lifetime, task, run) })
+	a.config.Logger.Info("run started", "task", local.task, "run", local.run, "worker", a.worker.ID)
+	if local.stopping && !local.settling {
+		local.settling = true
+		a.group.Go(func() { a.settleStop(a.lifetime, local) })
 	}
 }
 
 // settleAbsent makes sure that a run that was not started never will be, and reports it as absent.
 func (a *Agent) settleAbsent(ctx context.Context, local *localRun, reason string, unanswered bool) {
-	task := local.order.Task
-	if unanswered && !a.stopUntilAnswered(ctx, task, local.run) {
+	if unanswered && !a.stopUntilAnswered(ctx, local.task, local.run) {
 		return
 	}
 	for ctx.Err() == nil {
-		present, ok := a.lookFor(ctx, local, task)
+		present, ok := a.lookFor(ctx, local)
 		if ok && !present {
 			break
 		}
@@ -194,20 +202,20 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.runs[task] != local {
+	if a.runs[local.task] != local {
 		return
 	}
-	delete(a.runs, task)
-	a.config.Logger.Info("run is absent", "task", task, "run", local.run, "reason", reason)
-	a.sendAbsentLocked(task, local.run, reason)
+	delete(a.runs, local.task)
+	a.config.Logger.Info("run is absent", "task", local.task, "run", local.run, "reason", reason)
+	a.sendAbsentLocked(local.task, local.run, reason)
 }
 
 // lookFor takes a fresh look at the worker and reports whether the run is on it or has a listed end. A
 // run that is no longer known to the agent counts as settled. ok is false if the look failed.
-func (a *Agent) lookFor(ctx context.Context, local *localRun, task string) (present, ok bool) {
+func (a *Agent) lookFor(ctx context.Context, local *localRun) (present, ok bool) {
 	a.mu.Lock()
 	request := HoldRequest{Target: a.targetLocked(), ConfirmedUpTo: a.confirmedLocked()}
-	gone := a.runs[task] != local
+	gone := a.runs[local.task] != local
 	a.mu.Unlock()
 	if gone {
 		return false, true
@@ -220,11 +228,11 @@
 	}
 	a.takeLook(look)
 	for i := range look.Runs {
-		if look.Runs[i].Task == task && look.Runs[i].Run == local.run {
+		if look.Runs[i].Task == local.task && look.Runs[i].Run == local.run {
 			return true, true
 		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ends.has(task, local.run), true
+	return a.ends.has(local.task, local.run), true
 }
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -18,37 +18,28 @@
 		return
 	}
 	local := a.runs[order.Task]
-	if local == nil || local.run != order.Run {
-		local = &localRun{run: order.Run, settled: true, order: &wire.StartRun{Task: order.Task, Run: order.Run}}
-		if known := a.runs[order.Task]; known != nil {
-			a.group.Go(func() { a.stop(a.lifetime, order.Task, order.Run) })
-			return
-		}
+	if local == nil {
+		local = &localRun{task: order.Task, run: order.Run, settled: true}
 		a.runs[order.Task] = local
 	}
-	if local.stopping && !local.settled {
+	if local.run != order.Run {
+		a.group.Go(func() { a.stopUntilAnswered(a.lifetime, order.Task, order.Run) })
 		return
 	}
 	local.stopping = true
-	if local.settled {
-		a.group.Go(func() { a.stopAndSettle(a.lifetime, local, order.Task) })
+	// A start that is still being repeated notices the stop itself.
+	if local.settled && !local.settling {
+		local.settling = true
+		a.group.Go(func() { a.settleStop(a.lifetime, local) })
 	}
 }
 
-// stopAndSettle stops a run and reports it as absent if it was not there.
-func (a *Agent) stopAndSettle(ctx context.Context, local *localRun, task string) {
-	if local.order == nil {
-		local = &localRun{run: local.run, settled: true, stopping: true, order: &wire.StartRun{Task: task, Run: local.run}}
-		a.mu.Lock()
-		a.runs[task] = local
-		a.mu.Unlock()
-	}
+// settleStop stops a run and reports it as absent if it was not there.
+func (a *Agent) settleStop(ctx context.Context, local *localRun) {
 	a.settleAbsent(ctx, local, reasonStopped, true)
-}
-
-// stop repeats a stop call until the worker has answered it.
-func (a *Agent) stop(ctx context.Context, task string, run uint32) {
-	a.stopUntilAnswered(ctx, task, run)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	local.settling = false
 }
 
 // stopUntilAnswered repeats a stop call and reports whether the worker has answered it. It gives up when
