--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -18,6 +18,7 @@
 	// loadRate and minPressureRate are the smallest steps of the two kinds of estimates. The own load
 	// swings within seconds; pressure changes more slowly.
 	loadRate        = 0.1
+	excessRate      = 0.5
 	minPressureRate = 0.15
 	// restShare is the rest latency as a share of the target, where no lower one was seen.
 	restShare = 0.2
@@ -77,8 +78,13 @@
 		norm += neighbour.Cores * neighbour.Cores
 	}
 	errorOf := m.Usage(image, share) - min(predicted, 1)
-	// What the neighbours take is never negative, so the own load is at most the usage.
-	m.loads[run] = min(max(0, load+loadRate*errorOf), m.Usage(image, share), maxLoad)
+	load = min(max(0, load+loadRate*errorOf), maxLoad)
+	// What the neighbours take is never negative, so the own load is at most the usage. It comes down to
+	// the usage in steps: at once, it would keep to the lowest point of a load that swings.
+	if usage := m.Usage(image, share); load > usage {
+		load -= excessRate * (load - usage)
+	}
+	m.loads[run] = load
 	for _, neighbour := range neighbours {
 		pair := Pair{image, neighbour.Image}
 		known := m.pairs[pair]
