--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -10,8 +10,8 @@
 	// priorSamples the number of samples that it counts for.
 	priorPressure = 0.05
 	priorSamples  = 2.0
-	// restLoad is the expected own load of a run that was not seen yet.
-	restLoad = 0.45
+	// RestLoad is the expected own load of a run that was not seen yet.
+	RestLoad = 0.45
 	maxLoad  = 0.9
 	// maxPressure bounds the pressure of one core.
 	maxPressure = 0.6
@@ -38,6 +38,12 @@
 	Samples float64
 }
 
+// Expected returns the pressure to expect: the learned one, blended with that of unknown images while there
+// are few samples.
+func (e PressureEstimate) Expected() float64 {
+	return (e.Value*e.Samples + priorPressure*priorSamples) / (e.Samples + priorSamples)
+}
+
 // Pressure holds what was learned on one or more workers. It is not safe for concurrent use.
 type Pressure struct {
 	pairs map[Pair]PressureEstimate
@@ -103,19 +109,15 @@
 	if load, ok := m.loads[run]; ok {
 		return load
 	}
-	return restLoad
+	return RestLoad
 }
 
-// SetLoad takes over the own load of a run that was learned elsewhere.
-func (m *Pressure) SetLoad(run string, load float64) { m.loads[run] = load }
-
 // Forget drops the load of a run that has ended.
 func (m *Pressure) Forget(run string) { delete(m.loads, run) }
 
 // Pair returns the pressure of one core of the neighbour's image on runs of the image.
 func (m *Pressure) Pair(image, neighbour string) float64 {
-	known := m.pairs[Pair{image, neighbour}]
-	return (known.Value*known.Samples + priorPressure*priorSamples) / (known.Samples + priorSamples)
+	return m.pairs[Pair{image, neighbour}].Expected()
 }
 
 // Estimate returns what was learned of a pair.
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -121,17 +121,6 @@
 	return score
 }
 
-// Assigned returns the number of tasks assigned to the agent's worker, for metrics and tests.
-func (p *Planner) Assigned(agentName string) int {
-	count := 0
-	for life, held := range p.lives {
-		if life.Agent == agentName {
-			count += len(held)
-		}
-	}
-	return count
-}
-
 // Task returns the record of a task, for tests and the operators' tool.
 func (p *Planner) Task(name string) (job.Task, bool) {
 	r, ok := p.find(name)
--- a/internal/planner/pressures.go
+++ b/internal/planner/pressures.go
@@ -6,14 +6,8 @@
 )
 
 const (
-	// priorPressure is the expected pressure of one core of an image that was not seen yet, and
-	// priorSamples the number of samples that it counts for.
-	priorPressure = 0.05
-	priorSamples  = 2
 	// aimedUsage is the used part of the shared resource up to which a run keeps its latency target.
 	aimedUsage = 0.76
-	// restLoad is the own load of a run with a latency target that was not reported yet.
-	restLoad = 0.45
 	// milliCores is the number of thousandths in a core.
 	milliCores = 1000
 )
@@ -48,6 +42,5 @@
 // expected returns the expected pressure of one core.
 func (t pressureTable) expected(serving, filler string) float64 {
 	row, _ := t.row(serving, filler)
-	samples := float64(row.Samples)
-	return (float64(row.Value)*samples + priorPressure*priorSamples) / (samples + priorSamples)
+	return interference.PressureEstimate{Value: float64(row.Value), Samples: float64(row.Samples)}.Expected()
 }
--- a/internal/planner/sharing.go
+++ b/internal/planner/sharing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"clementineflow/internal/interference"
 	"clementineflow/internal/job"
 	"clementineflow/internal/wire"
 )
@@ -47,7 +48,7 @@
 // headroomOf returns what one run with a latency target has left beside the filler.
 func (p *Planner) headroomOf(serving, r ref, a *agent) float64 {
 	image := serving.definition().Image
-	left := aimedUsage - serving.run().loadOr(restLoad) - p.pressureOf(image, r)
+	left := aimedUsage - serving.run().loadOr(interference.RestLoad) - p.pressureOf(image, r)
 	for other := range p.lives[a.life] {
 		if other.definition().Filler && other != r {
 			left -= p.pressureOf(image, other)
--- a/internal/store/transaction.go
+++ b/internal/store/transaction.go
@@ -25,10 +25,7 @@
 	Deletes    []string
 }
 
-// Size returns the number of entries, which the store bounds by MaxTransactionEntries.
-func (t *Transaction) Size() int { return len(t.Conditions) + len(t.Writes) + len(t.Deletes) }
-
-// MaxTransactionEntries bounds the conditions, writes and deletes of one transaction.
+// MaxTransactionEntries bounds the conditions, writes and deletes of one transaction together.
 const MaxTransactionEntries = 32
 
 // Transactor commits transactions.
