Pace fillers by a Kalman filter over loads and pressures; admit them at a pace

The logged figures of every look showed why: a filler of an image that presses hard worked at full pace until the next look and brought runs to 4 to 11 times their target, from which they took 1 to 2 s to recover; and the own load of a run, which swings within seconds, was followed at a tenth of the error for each look. Change: Pressure is a Kalman filter over the own loads and the pressures of image pairs, fed with the cores that fillers really used. A filler is brought to an affordable pace as soon as it has started.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -80,6 +80,8 @@
 	stopping bool
 	settling bool
 	row      wire.RunRow
+	// figure is the latest figure of the run: see RunState.
+	figure int64
 	// order is the start order, or nil if the agent found the run on the worker.
 	order *wire.StartRun
 	// startedAt is the worker's clock when it confirmed the start.
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -176,7 +176,7 @@
 		}
 		if local.run == state.Run {
 			local.settled = true
-			local.row = state.RunRow
+			local.row, local.figure = state.RunRow, state.Figure
 		}
 	}
 	return unknown
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -19,8 +19,16 @@
 	paceStep = 40
 	// aimedShare is the share of a latency target that fillers may bring a run to.
 	aimedShare = 0.8
-	// maxOver is how long a run may be over its target before all fillers that press it stand still.
-	maxOver = 900 * time.Millisecond
+	// maxOver is how long a run may be over its target before the fillers that press it stand still, and
+	// maxOverOfAll before all fillers beside it do: what was learned of their pressure may be wrong.
+	maxOver      = 900 * time.Millisecond
+	maxOverOfAll = 2 * time.Second
+	// clearShare is the share of its target at which a run that was over it counts as relieved.
+	clearShare = 0.85
+	// cautionFactor weighs how far off a learned pressure may be.
+	cautionFactor = 0.0
+	// maxElapsed bounds the time for which the model lets its estimates drift at once.
+	maxElapsed = 5 * time.Second
 	// relevantPressure is the expected pressure of a filler above which it counts as pressing.
 	relevantPressure = 0.01
 	// fallingFactor tells a latency that falls: the worker's figures still contain the former ones, so
@@ -48,8 +56,9 @@
 	task  string
 	run   uint32
 	image string
-	// cores is what the run uses at full pace.
+	// cores is what the run uses at full pace, and used what it has used lately.
 	cores float64
+	used  float64
 }
 
 // pace is the pace of one filler.
@@ -69,9 +78,17 @@
 	model   *interference.Pressure
 	paces   map[string]*pace
 	figures map[string]float64
-	// overSince is since when each run that is over its target has been so.
+	// overSince is since when each run that came over its target has not been well below it again.
 	overSince  map[string]time.Duration
 	adjustedAt time.Duration
+	// beside holds the room that the latest paces leave beside each run.
+	beside []roomBeside
+}
+
+// roomBeside is how much of the shared resource fillers may use in addition beside a run.
+type roomBeside struct {
+	image string
+	room  float64
 }
 
 func newPacer() pacer {
@@ -80,6 +97,7 @@
 
 // reset forgets the runs, but not what was learned about images.
 func (p *pacer) reset() {
+	p.beside = nil
 	p.paces, p.figures, p.overSince = map[string]*pace{}, map[string]float64{}, map[string]time.Duration{}
 }
 
@@ -89,6 +107,7 @@
 	if len(serving) > 0 && now-p.adjustedAt < adjustInterval {
 		return
 	}
+	p.model.Advance(min(now-p.adjustedAt, maxElapsed))
 	p.adjustedAt = now
 	p.learn(now, serving, fillers)
 	p.share(now, serving, fillers)
@@ -114,11 +133,7 @@
 func (p *pacer) learn(now time.Duration, serving []servingRun, fillers []fillerRun) {
 	var neighbours []interference.Neighbour
 	for _, filler := range fillers {
-		if applied := p.paces[filler.task].applied; applied > 0 {
-			neighbours = append(neighbours, interference.Neighbour{
-				Image: filler.image, Cores: filler.cores * float64(applied) / fullPace,
-			})
-		}
+		neighbours = append(neighbours, interference.Neighbour{Image: filler.image, Cores: filler.used})
 	}
 	figures := make(map[string]float64, len(serving))
 	for _, s := range serving {
@@ -138,56 +153,105 @@
 	p.figures = figures
 }
 
-// noteOver follows how long a run has been over its target.
+// noteOver follows how long a run has been over its target. Once it is over, it counts so until it is well
+// below: fillers that go on at the first figure below the target bring it over again.
 func (p *pacer) noteOver(now time.Duration, s servingRun) {
-	if s.share <= 1 {
+	switch {
+	case s.share <= clearShare:
 		delete(p.overSince, s.task)
-	} else if p.overSince[s.task] == 0 {
+	case s.share > 1 && p.overSince[s.task] == 0:
 		p.overSince[s.task] = now
 	}
 }
 
-// roomBeside returns how much of the shared resource fillers may use beside a run.
-func (p *pacer) roomBeside(now time.Duration, s servingRun) float64 {
-	if since := p.overSince[s.task]; since != 0 && now-since >= maxOver {
+// overFor returns for how long a run has been over its target.
+func (p *pacer) overFor(now time.Duration, s servingRun) time.Duration {
+	since := p.overSince[s.task]
+	if since == 0 {
+		return 0
+	}
+	return now - since
+}
+
+// room returns how much of the shared resource fillers may use beside a run.
+func (p *pacer) room(now time.Duration, s servingRun) float64 {
+	if p.overFor(now, s) >= maxOver {
 		return 0
 	}
 	return max(0, p.model.Usage(s.image, aimedShare)-p.model.Load(s.task))
 }
 
+// need returns how much of the shared resource one core of a filler may take beside runs of an image.
+func (p *pacer) need(image, filler string) float64 {
+	return p.model.Pair(image, filler) + cautionFactor*p.model.Deviation(image, filler)
+}
+
 // share gives each filler the pace at which all runs are expected to keep their targets. Fillers that
 // press least go first, and with time those that have been held back.
 func (p *pacer) share(now time.Duration, serving []servingRun, fillers []fillerRun) {
-	room := make([]float64, len(serving))
-	for i, s := range serving {
-		room[i] = p.roomBeside(now, s)
+	stalled := false
+	p.beside = p.beside[:0]
+	for _, s := range serving {
+		stalled = stalled || p.overFor(now, s) >= maxOverOfAll
+		p.beside = append(p.beside, roomBeside{image: s.image, room: p.room(now, s)})
 	}
 	ordered := slices.Clone(fillers)
 	claims := make(map[string]float64, len(fillers))
 	for _, filler := range fillers {
-		claims[filler.task] = p.worstPressure(serving, filler) / (1 + float64(p.held(filler.task, now))/float64(patience))
+		claims[filler.task] = p.worstPressure(filler) / (1 + float64(p.held(filler.task, now))/float64(patience))
 	}
 	slices.SortStableFunc(ordered, func(x, y fillerRun) int { return cmp.Compare(claims[x.task], claims[y.task]) })
 	for _, filler := range ordered {
-		part := 1.0
-		for i, s := range serving {
-			if need := p.model.Pair(s.image, filler.image) * filler.cores; need > relevantPressure {
-				part = min(part, room[i]/need)
-			}
+		percent := p.affordable(filler)
+		if stalled {
+			percent = 0
 		}
-		percent := p.set(now, filler, int(part*fullPace))
-		for i, s := range serving {
-			used := p.model.Pair(s.image, filler.image) * filler.cores * float64(percent) / fullPace
-			room[i] = max(0, room[i]-used)
+		p.take(filler, p.set(now, filler, percent))
+	}
+}
+
+// affordable returns the pace that the room beside all runs allows a filler.
+func (p *pacer) affordable(filler fillerRun) int {
+	part := 1.0
+	for _, beside := range p.beside {
+		if need := p.need(beside.image, filler.image) * filler.cores; need > relevantPressure {
+			part = min(part, beside.room/need)
 		}
 	}
+	return int(part * fullPace)
+}
+
+// take takes the room that a filler needs at a pace.
+func (p *pacer) take(filler fillerRun, percent int) {
+	for i := range p.beside {
+		beside := &p.beside[i]
+		used := p.need(beside.image, filler.image) * filler.cores * float64(percent) / fullPace
+		beside.room = max(0, beside.room-used)
+	}
+}
+
+// admit returns the pace at which a filler that has just started may work until the next adjustment. The
+// worker starts every run at full pace.
+func (p *pacer) admit(now time.Duration, filler fillerRun) int {
+	current := &pace{run: filler.run, percent: fullPace, applied: fullPace}
+	p.paces[filler.task] = current
+	percent := min(p.affordable(filler), fullPace)
+	if percent < lowestPace {
+		percent = 0
+	}
+	if percent < heldPace {
+		current.heldSince = now
+	}
+	current.percent = percent
+	p.take(filler, percent)
+	return percent
 }
 
 // worstPressure returns the highest pressure of one core of a filler on the runs.
-func (p *pacer) worstPressure(serving []servingRun, filler fillerRun) float64 {
+func (p *pacer) worstPressure(filler fillerRun) float64 {
 	worst := 0.0
-	for _, s := range serving {
-		worst = max(worst, p.model.Pair(s.image, filler.image))
+	for _, beside := range p.beside {
+		worst = max(worst, p.model.Pair(beside.image, filler.image))
 	}
 	return worst
 }
--- a/internal/runner/pace_test.go
+++ b/internal/runner/pace_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"clementineflow/internal/interference"
 )
 
 // sharedWorker is a worker on which one run serves and two kinds of fillers work: "heavy" presses it,
@@ -45,12 +47,13 @@
 func (w *sharedWorker) step(paced bool) {
 	w.now += sampleInterval
 	usage := 0.35 + 0.1*w.random.Float64()
-	for _, filler := range w.fillers {
+	for i, filler := range w.fillers {
 		percent := fullPace
 		if current := w.pacer.paces[filler.task]; paced && current != nil {
 			percent = current.percent
 		}
 		cores := filler.cores * float64(percent) / fullPace
+		w.fillers[i].used = cores
 		w.worked[filler.image] += cores * sampleInterval.Seconds()
 		if filler.image == "heavy" {
 			usage += heavyPressure * cores
@@ -123,3 +126,55 @@
 	p.failed(changes[0])
 	is.Equal(len(p.changes(fillers)), 1)
 }
+
+// besideRun returns a pacer that has seen one run at the share of its target beside no fillers.
+func besideRun(share float64) (*pacer, []servingRun) {
+	p := newPacer()
+	serving := []servingRun{{task: "s", image: "serving", share: share}}
+	for sample := range 10 {
+		p.adjust(time.Duration(sample+1)*sampleInterval, serving, nil)
+	}
+	return &p, serving
+}
+
+// TestFillerIsAdmittedAtAPace guards against a filler that works at full pace until the next look: half a
+// second of a filler that presses hard keeps the runs beside it over their targets for seconds.
+func TestFillerIsAdmittedAtAPace(t *testing.T) {
+	is := is.New(t)
+	p, _ := besideRun(0.4)
+	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "heavy"}, interference.PressureEstimate{Value: 0.2, Samples: 50})
+	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "light"}, interference.PressureEstimate{Value: 0, Samples: 50})
+	now := 11 * sampleInterval
+	is.True(p.admit(now, fillerRun{task: "a", run: 1, image: "heavy", cores: 3}) < 60)
+	is.Equal(p.admit(now, fillerRun{task: "b", run: 1, image: "light", cores: 3}), fullPace)
+	is.Equal(p.admit(now, fillerRun{task: "c", run: 1, image: "heavy", cores: 3}), 0) // "a" has taken the room
+	changes := p.changes([]fillerRun{{task: "a", run: 1}, {task: "b", run: 1}, {task: "c", run: 1}})
+	is.Equal(len(changes), 2) // the worker starts runs at full pace
+}
+
+// TestWronglyTrustedFillersStop guards against a run that stays over its target because the filler that
+// presses it was learned to be harmless: such fillers worked on for four seconds in a played day.
+func TestWronglyTrustedFillersStop(t *testing.T) {
+	is := is.New(t)
+	p, serving := besideRun(0.4)
+	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "trusted"}, interference.PressureEstimate{Value: 0, Samples: 1e6})
+	fillers := []fillerRun{{task: "a", run: 1, image: "trusted", cores: 0.5, used: 0.5}}
+	serving[0].share = 3
+	stoppedAfter := time.Duration(0)
+	for sample := range 8 {
+		now := time.Duration(11+sample) * sampleInterval
+		p.adjust(now, serving, fillers)
+		if p.paces["a"].percent == 0 {
+			stoppedAfter = time.Duration(sample) * sampleInterval
+			break
+		}
+	}
+	is.True(stoppedAfter > 0 && stoppedAfter <= maxOverOfAll+sampleInterval)
+	// The first figure just below the target does not let the filler work again.
+	serving[0].share = 0.95
+	p.adjust(30*sampleInterval, serving, fillers)
+	is.Equal(p.paces["a"].percent, 0)
+	serving[0].share = 0.5
+	p.adjust(31*sampleInterval, serving, fillers)
+	is.True(p.paces["a"].percent > 0)
+}
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -30,6 +30,11 @@
 	changes := a.paces.changes(fillers)
 	target := a.targetLocked()
 	a.mu.Unlock()
+	a.sendPaces(ctx, target, changes)
+}
+
+// sendPaces tells the worker the paces of fillers.
+func (a *Agent) sendPaces(ctx context.Context, target Target, changes []paceChange) {
 	for _, change := range changes {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := a.config.Worker.Pace(call, target, change.task, change.run, change.percent)
@@ -42,6 +47,29 @@
 	}
 }
 
+// admitFiller brings a filler that has just started to the pace that the runs beside it allow.
+func (a *Agent) admitFiller(ctx context.Context, local *localRun) {
+	a.mu.Lock()
+	if a.runs[local.task] != local || local.stopping || !local.order.Filler {
+		a.mu.Unlock()
+		return
+	}
+	filler := local.filler()
+	a.paces.admit(a.config.Now(), filler)
+	changes := a.paces.changes([]fillerRun{filler})
+	target := a.targetLocked()
+	a.mu.Unlock()
+	a.sendPaces(ctx, target, changes)
+}
+
+// filler returns the run as a filler.
+func (l *localRun) filler() fillerRun {
+	return fillerRun{
+		task: l.task, run: l.run, image: l.order.Image,
+		cores: float64(l.order.MilliCPU) / milliCores, used: float64(l.figure) / milliCores,
+	}
+}
+
 // servingLocked returns the runs with a latency target in the look.
 func (a *Agent) servingLocked(look Look) []servingRun {
 	var serving []servingRun
@@ -61,12 +89,9 @@
 // fillersLocked returns the fillers on the worker, in a fixed order.
 func (a *Agent) fillersLocked() []fillerRun {
 	var fillers []fillerRun
-	for task, local := range a.runs {
+	for _, local := range a.runs {
 		if local.order != nil && local.order.Filler && local.settled && !local.stopping {
-			fillers = append(fillers, fillerRun{
-				task: task, run: local.run, image: local.order.Image,
-				cores: float64(local.order.MilliCPU) / milliCores,
-			})
+			fillers = append(fillers, local.filler())
 		}
 	}
 	slices.SortFunc(fillers, func(x, y fillerRun) int { return cmp.Compare(x.task, y.task) })
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -140,6 +140,7 @@
 	switch {
 	case err == nil && verdict.Reason == "":
 		a.started(local, verdict.Clock)
+		a.admitFiller(a.lifetime, local)
 		return ""
 	case err == nil:
 		return verdict.Reason
