Give room to jobs that can still be in time

Change: within a priority, jobs that have begun and can be in time go first, then the latest to come, then those that are late but of use, then the rest. Objectives count the longest chain of steps; durations are learned by queue, as declared ones are far off.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -211,7 +211,7 @@
 			return
 		}
 	}
-	t.planner.AddJob(spec, progress, item.Revision)
+	t.planner.AddJob(spec, progress, item.Revision, time.Since(spec.AcceptedAt))
 }
 
 // handleAgent takes in a message of an agent.
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
 
 	"clementineflow/internal/job"
@@ -12,6 +11,7 @@
 	entry    *entry
 	step     int
 	priority int
+	rank     rank
 }
 
 // assign places waiting tasks of ready steps on workers.
@@ -20,9 +20,7 @@
 		return
 	}
 	candidates := p.candidates()
-	slices.SortStableFunc(candidates, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.entry.knownSince, y.entry.knownSince))
-	})
+	slices.SortStableFunc(candidates, compareCandidates)
 	blocked := map[shape]bool{}
 	for _, c := range candidates {
 		p.assignStep(c, blocked)
@@ -36,11 +34,18 @@
 		if e.progress.State.Final() {
 			continue
 		}
+		first := len(result)
 		for step := range e.spec.Steps {
 			if waitingTasks(e, step) && e.progress.Ready(e.spec, step) {
 				result = append(result, candidate{entry: e, step: step, priority: p.priority(e)})
 			}
 		}
+		if len(result) > first {
+			rank := p.rank(e)
+			for i := first; i < len(result); i++ {
+				result[i].rank = rank
+			}
+		}
 	}
 	return result
 }
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -143,6 +143,7 @@
 	task, current, definition := r.task(), r.run(), r.definition()
 	if !current.ordered {
 		p.noteTimings(r)
+		current.startedAt = p.now
 	}
 	current.ordered = true
 	current.orderAt = p.now
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -38,7 +38,7 @@
 
 // settle records the end of the current run of a task.
 func (p *Planner) settle(a *agent, r ref, outcome job.Outcome, saved string) {
-	stopping := r.run().stopping
+	stopping, startedAt := r.run().stopping, r.run().startedAt
 	task, e := r.task(), r.entry
 	p.release(r)
 	if saved != "" {
@@ -52,6 +52,9 @@
 	switch {
 	case outcome == job.OutcomeDone && !r.definition().Lasting:
 		a.succeed()
+		if startedAt > 0 && task.Saved == "" {
+			p.durations.note(e.spec.Queue, p.now-startedAt)
+		}
 		p.complete(r)
 	case outcome == job.OutcomeFailed:
 		p.failRun(a, r)
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -20,6 +20,8 @@
 	startedAny bool
 	// knownSince is when the planner learned of the job.
 	knownSince time.Duration
+	// handedIn is when the job was handed in; it may lie before the planner's first moment.
+	handedIn time.Duration
 
 	dirty    bool
 	inFlight bool
@@ -33,6 +35,8 @@
 	ordered bool
 	// stopping is set once the run was told to stop.
 	stopping bool
+	// startedAt is when the first start order of the run was sent.
+	startedAt time.Duration
 	// orderAt is when the latest order about the run was sent.
 	orderAt time.Duration
 	// seen is set once the agent has reported the run.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,7 @@
 	events    []Event
 	timings   []Timings
 	pressures pressureTable
+	durations durationTable
 	// active lists the jobs that are not final, oldest first.
 	active []*entry
 	// removable lists the ids of jobs whose records can be deleted.
@@ -40,7 +41,7 @@
 		timing: timing, now: now, termStart: now,
 		jobs: map[string]*entry{}, agents: map[string]*agent{},
 		lives: map[job.WorkerLife]map[ref]struct{}{}, cancels: map[string]bool{},
-		pressures: pressureTable{},
+		pressures: pressureTable{}, durations: durationTable{},
 	}
 }
 
@@ -106,8 +107,9 @@
 	}
 }
 
-// AddJob takes in a job. The progress is nil if nothing is recorded yet.
-func (p *Planner) AddJob(spec *job.Spec, progress *job.Progress, revision store.Revision) {
+// AddJob takes in a job that was handed in the given time ago. The progress is nil if nothing is recorded
+// yet.
+func (p *Planner) AddJob(spec *job.Spec, progress *job.Progress, revision store.Revision, age time.Duration) {
 	if _, ok := p.jobs[spec.ID]; ok {
 		return
 	}
@@ -116,6 +118,7 @@
 		progress = job.NewProgress(spec)
 	}
 	e := newEntry(spec, progress, revision, p.now)
+	e.handedIn = p.now - max(0, age)
 	p.jobs[spec.ID] = e
 	if !progress.State.Final() {
 		p.active = append(p.active, e)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -21,6 +21,7 @@
 	p := New(testTiming, time.Second)
 	config := &operatorconfig.Config{Queues: []operatorconfig.Queue{
 		{Name: "q", Service: "pool", Priority: 1, MaxAttempts: 3}, {Name: "urgent", Service: "pool", MaxAttempts: 3},
+		{Name: "timed", Service: "pool", Priority: 1, MaxAttempts: 3, SlackFactor: 2, Objective: time.Second},
 	}}
 	config.Index()
 	p.SetOperator(operatorconfig.Snapshot{Config: config, Revision: 1})
@@ -44,7 +45,7 @@
 	if step.Need.MilliCPU == 0 {
 		step.Need.MilliCPU = 1000
 	}
-	p.AddJob(&job.Spec{ID: id, Queue: queue, Service: "pool", Steps: []job.Step{step}}, nil, 0)
+	p.AddJob(&job.Spec{ID: id, Queue: queue, Service: "pool", Steps: []job.Step{step}}, nil, 0, 0)
 }
 
 // commit writes everything that waits and returns the start orders by agent.
