Pack runs with a latency target by image; let fillers wait for headroom

Fillers without headroom were placed after 1 s of waiting all the same and then stood nearly still, holding memory. Change: a run with a latency target goes to a worker where only its image serves, then to one where its image serves too, then to one where others serve; a filler may lack 0.03 instead of 0.3 of headroom for each second that it has waited. Penalties have names. A watch without a bound per worker now stands on few workers; the loss of one takes more of it at once.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -13,11 +13,18 @@
 	// headroomWeight weighs the headroom that a filler leaves to runs with a latency target against a
 	// worker's idle share.
 	headroomWeight = 3
-	// sameImageWeight and otherImageWeight rate each run with a latency target on a worker for another one.
-	sameImageWeight  = 0.5
-	otherImageWeight = 0.5
+	// onlyImageScore, mixedImageScore and otherImageScore rate a worker for a run with a latency target: only
+	// runs of its image serve there, also others, or only others. A worker on which nothing serves rates 0.
+	// The free share of a worker, up to 1, is taken off.
+	onlyImageScore  = 3
+	mixedImageScore = 2.5
+	otherImageScore = 1
+	// otherRackPenalty is what a worker on another rack than the data's loses.
+	otherRackPenalty = 1
+	// avoidPenalty is what the worker loses on which the previous run failed or was lost.
+	avoidPenalty = 4
 	// patiencePerSecond is how much headroom a filler may lack for each second that it has waited.
-	patiencePerSecond = 0.3
+	patiencePerSecond = 0.03
 )
 
 // service returns the name of the workers' service of the job's queue. A queue that was removed keeps
@@ -81,43 +88,57 @@
 	return a.capacity.MilliCPU - used - a.fillerCPU
 }
 
-// score rates a worker that fits; the highest is chosen. Work is spread, so that tasks share a worker
-// with as few others as possible.
+// score rates a worker that fits; the highest is chosen.
 func (p *Planner) score(r ref, a *agent) float64 {
 	definition := r.definition()
-	capacity := float64(max(a.capacity.MilliCPU, 1))
-	score := float64(a.idleCPU()) / capacity
-	if !definition.Filler {
-		score += float64(a.free().MilliCPU) / capacity
+	score := 0.0
+	switch {
+	case definition.LatencyTarget > 0:
+		score = p.servingScore(r, a)
+	case definition.Filler:
+		score = a.idleShare() + headroomWeight*p.headroom(r, a)
+	default:
+		score = a.idleShare() + a.freeShare()
 	}
 	if definition.Rack != "" && !a.hasLabel(definition.Rack) {
-		score -= 1
-	}
-	if definition.Filler {
-		score += headroomWeight * p.headroom(r, a)
-	}
-	if definition.LatencyTarget > 0 {
-		score += p.company(r, a)
+		score -= otherRackPenalty
 	}
 	if a.name == r.run().avoid {
-		score -= 4
+		score -= avoidPenalty
 	}
 	return score
 }
 
-// company rates a worker for a run with a latency target: runs of one image are kept together, so that
-// fillers which press them find other workers.
-func (p *Planner) company(r ref, a *agent) float64 {
-	score := 0.0
+// idleShare returns the part of the processors that nothing uses.
+func (a *agent) idleShare() float64 {
+	return float64(a.idleCPU()) / float64(max(a.capacity.MilliCPU, 1))
+}
+
+// freeShare returns the part of the processors that is not reserved.
+func (a *agent) freeShare() float64 {
+	return float64(a.free().MilliCPU) / float64(max(a.capacity.MilliCPU, 1))
+}
+
+// servingScore rates a worker for a run with a latency target. Such runs are packed on few workers, by
+// image: fillers work freely on the workers without them, and beside a single image most fillers are
+// harmless.
+func (p *Planner) servingScore(r ref, a *agent) float64 {
+	same, others := false, false
 	for other := range p.lives[a.life] {
-		switch {
-		case other.definition().LatencyTarget == 0:
-		case other.definition().Image == r.definition().Image:
-			score += sameImageWeight
-		default:
-			score -= otherImageWeight
+		if other.definition().LatencyTarget > 0 {
+			ofImage := other.definition().Image == r.definition().Image
+			same, others = same || ofImage, others || !ofImage
 		}
 	}
+	score := -a.freeShare()
+	switch {
+	case same && !others:
+		score += onlyImageScore
+	case same:
+		score += mixedImageScore
+	case others:
+		score += otherImageScore
+	}
 	return score
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -243,3 +243,42 @@
 	moved, _ := p.Task("a.0.0.0")
 	is.Equal(moved.Run, task.Run+1)
 }
+
+// TestServingRunsLeaveWorkersToFillers guards against runs with a latency target on every worker although
+// half of the workers hold them: at the peak of their loads no filler could work anywhere.
+func TestServingRunsLeaveWorkersToFillers(t *testing.T) {
+	is := is.New(t)
+	p := plan(4)
+	for _, image := range []string{"x", "y", "z"} {
+		add(p, "serving-"+image, "urgent", job.Step{Count: 2, Lasting: true, Image: image, LatencyTarget: 50 * time.Millisecond})
+	}
+	commit(p)
+	empty := 0
+	for i := range 4 {
+		if len(p.Neighbours(agentName(i))) == 0 {
+			empty++
+		}
+	}
+	is.Equal(empty, 2)
+}
+
+// TestFillerWaitsForHeadroom guards against fillers that are parked at a standstill beside the runs that
+// they press: they would hold memory there and could not go where room comes free.
+func TestFillerWaitsForHeadroom(t *testing.T) {
+	is := is.New(t)
+	p := plan(1)
+	add(p, "serving", "urgent", job.Step{Count: 1, Lasting: true, Image: "x", LatencyTarget: 50 * time.Millisecond})
+	commit(p)
+	p.RunProgress(agentName(0), &wire.RunProgress{
+		WorkerID: "w-" + agentName(0), Born: 1,
+		Pressures: []wire.PressureRow{{Serving: "x", Filler: "heavy", Value: 0.3, Samples: 100}},
+		Loads:     []wire.LoadRow{{Task: "serving.0.0.0", Load: 0.6}},
+	})
+	add(p, "filling", "q", job.Step{Count: 1, Filler: true, Image: "heavy"})
+	is.Equal(total(commit(p)), 0)
+	p.Advance(p.now + 2*time.Second)
+	is.Equal(total(commit(p)), 0)
+	// Work that waits for very long goes ahead at what pace there is.
+	p.Advance(p.now + 30*time.Second)
+	is.Equal(total(commit(p)), 1)
+}
