Make store calls through another entry while the own path to the store is cut

Change: internal/relay. Each entry keeps a record of its address under a lease of a minute; an entry whose latest store call failed, or has not been answered for 0.5 s, sends reads, commits and renewals to another entry that reaches the store. Entries without a path answer at once, so nothing goes in circles. Ruled out: passing hand-ins to the coordinator only (it may be the one that is cut).

--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -12,6 +12,7 @@
 	"clementineflow/internal/link"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/planner"
+	"clementineflow/internal/relay"
 	"clementineflow/internal/store"
 	"clementineflow/platform"
 )
@@ -45,21 +46,24 @@
 	source := platform.Operator{}
 	view := operatorconfig.NewView(source, p.settings.Zones, p.logger)
 	dialer := link.NewDialer(nil)
+	detour := relay.New(relay.Config{
+		Name: p.settings.Name, Address: p.settings.LinkAddress, Store: client, Dialer: dialer, Logger: p.logger,
+	})
 	elected := coordinator.New(coordinator.Config{
-		Name: p.settings.Name, Address: p.settings.LinkAddress, Store: client, Dialer: dialer, View: view,
+		Name: p.settings.Name, Address: p.settings.LinkAddress, Store: detour, Dialer: dialer, View: view,
 		Timing: planner.Timing{
 			Authority: runAuthority, Margin: runAuthorityMargin, StatusPeriod: p.settings.StatusPeriod + statusMargin,
 		},
 		Now: bootclock.Now, Logger: p.logger,
 	})
-	peer := gateway.NewPeer(p.settings.LinkAddress, elected, dialer, p.logger)
+	peer := gateway.NewPeer(p.settings.LinkAddress, elected, detour, dialer, p.logger)
 	front := platform.NewClients(gateway.New(gateway.Config{
-		Store: client, View: view, Coordinator: peer, Logger: p.logger,
+		Store: detour, View: view, Coordinator: peer, Logger: p.logger,
 	}), p.logger)
 
 	var group conc.WaitGroup
 	mirror := store.NewMirror(store.MirrorConfig{
-		Feed: client, Prefix: source.Prefix(), Wait: operatorWait, Handle: view.Apply, Logger: p.logger,
+		Feed: detour.Direct(), Prefix: source.Prefix(), Wait: operatorWait, Handle: view.Apply, Logger: p.logger,
 	})
 	// The operator's keys are followed until the last answer is out.
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
@@ -67,6 +71,7 @@
 	group.Go(func() { mirror.Run(serving) })
 	group.Go(func() { p.followSettings(serving, func(s *platform.Settings) { client.Move(s.Store) }) })
 	group.Go(func() { elected.Run(ctx) })
+	group.Go(func() { detour.Run(serving) })
 	group.Go(func() { peer.Run(serving) })
 	p.serveMetrics(serving, &group)
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,10 +56,13 @@
 }
 
 // Gateway answers callers. It is safe for concurrent use.
-type Gateway struct{ config Config }
+type Gateway struct {
+	config    Config
+	unsettled *unsettled
+}
 
 // New returns a gateway.
-func New(config Config) *Gateway { return &Gateway{config: config} }
+func New(config Config) *Gateway { return &Gateway{config: config, unsettled: newUnsettled()} }
 
 // Ready reports whether the entry knows a configuration.
 func (g *Gateway) Ready() bool { return g.config.View.Snapshot().Config != nil }
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -21,6 +21,12 @@
 	Leader() (string, <-chan struct{})
 }
 
+// StoreServer makes store calls for other entries.
+type StoreServer interface {
+	// Serve makes a call and sends its reply on the link. It does not block.
+	Serve(ctx context.Context, conn link.Conn, call *wire.StoreCall)
+}
+
 // Times of the link to the coordinator.
 const (
 	peerDialTimeout  = time.Second
@@ -32,6 +38,7 @@
 type Peer struct {
 	address string
 	local   Local
+	stores  StoreServer
 	dialer  link.Dialer
 	logger  *log.Logger
 
@@ -42,8 +49,8 @@
 }
 
 // NewPeer returns a peer of the entry whose links have the address.
-func NewPeer(address string, local Local, dialer link.Dialer, logger *log.Logger) *Peer {
-	return &Peer{address: address, local: local, dialer: dialer, logger: logger, pending: map[uint64]chan wire.Message{}}
+func NewPeer(address string, local Local, stores StoreServer, dialer link.Dialer, logger *log.Logger) *Peer {
+	return &Peer{address: address, local: local, stores: stores, dialer: dialer, logger: logger, pending: map[uint64]chan wire.Message{}}
 }
 
 // Run keeps a link to the coordinator until the context ends.
@@ -219,6 +226,10 @@
 		if err != nil {
 			return
 		}
+		if call, ok := message.(*wire.StoreCall); ok {
+			p.stores.Serve(ctx, conn, call)
+			continue
+		}
 		if err := conn.Send(p.answer(ctx, message)); err != nil {
 			return
 		}
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -14,6 +14,19 @@
 
 // Submit stores a job and returns what to tell the caller. The job's ID, payload and steps are set.
 func (g *Gateway) Submit(ctx context.Context, host, path string, spec *job.Spec) Reply {
+	reply := g.submit(ctx, host, path, spec)
+	if reply.Outcome == Refused && g.unsettled.has(spec.ID, time.Now()) {
+		// A write of an earlier hand-in may still take effect.
+		reply.Outcome = Unknown
+	}
+	if reply.Outcome == Unknown {
+		g.unsettled.add(spec.ID, time.Now())
+	}
+	return reply
+}
+
+// submit makes attempts to store a job until the outcome is known or the caller's time is up.
+func (g *Gateway) submit(ctx context.Context, host, path string, spec *job.Spec) Reply {
 	switch err := spec.Validate(); {
 	case errors.Is(err, job.ErrUnsupported):
 		return g.refuse(spec.ID, Refused, err.Error())
--- /dev/null
+++ b/internal/relay/direct.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/store"
+)
+
+// errSlow is the cause of a store that has not answered for suspectAfter.
+var errSlow = errors.New("relay: no answer of the store yet")
+
+// direct makes all calls on this entry's own path to the store and notes whether it works.
+type direct struct {
+	Store
+	health *health
+}
+
+// watched makes one call that may wait for the given time.
+func watched[T any](d *direct, wait time.Duration, call func() (T, error)) (T, error) {
+	timer := time.AfterFunc(wait+suspectAfter, func() { d.health.set(true, errSlow) })
+	result, err := call()
+	timer.Stop()
+	d.health.note(err)
+	return result, err
+}
+
+// Get implements store.Store.
+func (d *direct) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	return watched(d, 0, func() (store.KeyValue, error) { return d.Store.Get(ctx, key) })
+}
+
+// listing is the result of ListAt.
+type listing struct {
+	items []store.KeyValue
+	at    store.Revision
+}
+
+// ListAt implements store.Feed.
+func (d *direct) ListAt(ctx context.Context, prefix string) ([]store.KeyValue, store.Revision, error) {
+	result, err := watched(d, suspectAfter, func() (listing, error) {
+		items, at, err := d.Store.ListAt(ctx, prefix)
+		return listing{items, at}, err
+	})
+	return result.items, result.at, err
+}
+
+// Changes implements store.Feed.
+func (d *direct) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	return watched(d, wait, func() (store.Changes, error) { return d.Store.Changes(ctx, prefix, after, wait) })
+}
+
+// Commit implements store.Transactor.
+func (d *direct) Commit(ctx context.Context, transaction store.Transaction) (store.Revision, error) {
+	return watched(d, 0, func() (store.Revision, error) { return d.Store.Commit(ctx, transaction) })
+}
+
+// RenewLease implements store.Store.
+func (d *direct) RenewLease(ctx context.Context, lease store.LeaseID) error {
+	_, err := watched(d, 0, func() (struct{}, error) { return struct{}{}, d.Store.RenewLease(ctx, lease) })
+	return err
+}
--- /dev/null
+++ b/internal/relay/directory.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// recordPrefix is the prefix of the records of all entries.
+const recordPrefix = "entry/"
+
+// record is the stored address of an entry's links.
+type record struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// directory holds the addresses of the other entries. It is safe for concurrent use.
+type directory struct {
+	own string
+
+	mu        sync.Mutex
+	addresses map[string]string
+}
+
+func newDirectory(own string) *directory { return &directory{own: own, addresses: map[string]string{}} }
+
+// apply takes in changes of the records.
+func (d *directory) apply(events []store.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, event := range events {
+		name := strings.TrimPrefix(event.Key, recordPrefix)
+		if event.Deleted {
+			delete(d.addresses, name)
+			continue
+		}
+		known, err := wire.Unmarshal[record](event.Value)
+		if err == nil {
+			d.addresses[name] = known.Address
+		}
+	}
+}
+
+// others returns the addresses of the other entries, in a fixed order.
+func (d *directory) others() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for _, address := range d.addresses {
+		if address != d.own {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// register keeps this entry's record in the store until the context ends. The record lives under a lease,
+// so that an entry that is gone is forgotten.
+func (r *Relay) register(ctx context.Context) {
+	value, err := wire.Marshal(&record{Address: r.config.Address})
+	if err != nil {
+		r.config.Logger.Error("entry record not encoded", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		lease, err := r.writeRecord(ctx, value)
+		for err == nil && ctx.Err() == nil {
+			sleep(ctx, renewInterval)
+			err = r.renewRecord(ctx, lease)
+		}
+		if ctx.Err() == nil {
+			r.config.Logger.Info("entry record is written again", "error", err)
+			sleep(ctx, retryInterval)
+		}
+	}
+}
+
+// writeRecord writes this entry's record under a new lease.
+func (r *Relay) writeRecord(ctx context.Context, value []byte) (store.LeaseID, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := r.config.Store.GrantLease(call, recordTTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.config.Store.Commit(call, store.Transaction{
+		Writes: []store.Write{{Key: recordPrefix + r.config.Name, Value: value, Lease: lease}},
+	})
+	return lease, err
+}
+
+// renewRecord renews the record's lease. A store that is away is left alone until the next renewal is due.
+func (r *Relay) renewRecord(ctx context.Context, lease store.LeaseID) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.config.Store.RenewLease(call, lease)
+	if unreached(err) {
+		return nil
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -35,6 +35,10 @@
 		return &RunProgress{}
 	case KindPeerPing:
 		return &PeerPing{}
+	case KindStoreCall:
+		return &StoreCall{}
+	case KindStoreReply:
+		return &StoreReply{}
 	default:
 		return nil
 	}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -41,6 +41,9 @@
 	KindQueueReply  Kind = 32
 	KindRunProgress Kind = 33
 	KindPeerPing    Kind = 34
+	// Store calls that one entry makes for another.
+	KindStoreCall  Kind = 35
+	KindStoreReply Kind = 36
 )
 
 // Message is one message between two processes.
