Hold back only fillers that matter; move held ones sooner

Cause: at the peak of the loads no room is left up to the aimed latency, and then every filler stood still, also those that take a hundredth of the shared resource; and fillers that were held back stayed for 1.5 s beside runs that they press. Change: a filler that needs at most 0.05 of the resource, what lies between the aimed latency and the target, is held back only beside a run that is over its target; a held filler is moved after 0.9 s where it gains 0.1 of headroom.

--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -177,15 +177,6 @@
 	return m.filter.mean(q)
 }
 
-// Deviation returns how far off the pressure of a pair may be.
-func (m *Pressure) Deviation(image, neighbour string) float64 {
-	q := pressureOf(Pair{image, neighbour})
-	if !m.filter.has(q) {
-		return priorDeviation
-	}
-	return m.filter.deviation(q)
-}
-
 // Estimate returns what was measured of a pair.
 func (m *Pressure) Estimate(pair Pair) PressureEstimate {
 	q := pressureOf(pair)
--- a/internal/planner/sharing.go
+++ b/internal/planner/sharing.go
@@ -11,9 +11,9 @@
 
 const (
 	// moveAfter is how long a filler is held back before it is moved to a better worker.
-	moveAfter = 1500 * time.Millisecond
+	moveAfter = 900 * time.Millisecond
 	// moveGain is how much more headroom the worker must have that a filler is moved to.
-	moveGain = 0.15
+	moveGain = 0.1
 	// losablePercent is up to how much of its work a filler without checkpoints is moved.
 	losablePercent = 25
 )
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -25,12 +25,13 @@
 	maxOverOfAll = 2 * time.Second
 	// clearShare is the share of its target at which a run that was over it counts as relieved.
 	clearShare = 0.85
-	// cautionFactor weighs how far off a learned pressure may be.
-	cautionFactor = 0.0
 	// maxElapsed bounds the time for which the model lets its estimates drift at once.
 	maxElapsed = 5 * time.Second
-	// relevantPressure is the expected pressure of a filler above which it counts as pressing.
-	relevantPressure = 0.01
+	// smallNeed is the part of the shared resource up to which a filler is not held back beside a run that keeps
+	// its target; all of it lies between the aimed latency and the target. leastNeed goes for a run that is
+	// over its target.
+	smallNeed = 0.05
+	leastNeed = 0.005
 	// fallingFactor tells a latency that falls: the worker's figures still contain the former ones, so
 	// nothing can be learned from it.
 	fallingFactor = 1.6
@@ -89,6 +90,8 @@
 type roomBeside struct {
 	image string
 	room  float64
+	// relevant is the need of a filler from which on it is held back.
+	relevant float64
 }
 
 func newPacer() pacer {
@@ -181,11 +184,6 @@
 	return max(0, p.model.Usage(s.image, aimedShare)-p.model.Load(s.task))
 }
 
-// need returns how much of the shared resource one core of a filler may take beside runs of an image.
-func (p *pacer) need(image, filler string) float64 {
-	return p.model.Pair(image, filler) + cautionFactor*p.model.Deviation(image, filler)
-}
-
 // share gives each filler the pace at which all runs are expected to keep their targets. Fillers that
 // press least go first, and with time those that have been held back.
 func (p *pacer) share(now time.Duration, serving []servingRun, fillers []fillerRun) {
@@ -193,7 +191,11 @@
 	p.beside = p.beside[:0]
 	for _, s := range serving {
 		stalled = stalled || p.overFor(now, s) >= maxOverOfAll
-		p.beside = append(p.beside, roomBeside{image: s.image, room: p.room(now, s)})
+		relevant := smallNeed
+		if s.share > 1 || p.overFor(now, s) >= maxOver {
+			relevant = leastNeed
+		}
+		p.beside = append(p.beside, roomBeside{image: s.image, room: p.room(now, s), relevant: relevant})
 	}
 	ordered := slices.Clone(fillers)
 	claims := make(map[string]float64, len(fillers))
@@ -214,7 +216,7 @@
 func (p *pacer) affordable(filler fillerRun) int {
 	part := 1.0
 	for _, beside := range p.beside {
-		if need := p.need(beside.image, filler.image) * filler.cores; need > relevantPressure {
+		if need := p.model.Pair(beside.image, filler.image) * filler.cores; need > beside.relevant {
 			part = min(part, beside.room/need)
 		}
 	}
@@ -225,7 +227,7 @@
 func (p *pacer) take(filler fillerRun, percent int) {
 	for i := range p.beside {
 		beside := &p.beside[i]
-		used := p.need(beside.image, filler.image) * filler.cores * float64(percent) / fullPace
+		used := p.model.Pair(beside.image, filler.image) * filler.cores * float64(percent) / fullPace
 		beside.room = max(0, beside.room-used)
 	}
 }
--- a/internal/runner/pace_test.go
+++ b/internal/runner/pace_test.go
@@ -178,3 +178,22 @@
 	p.adjust(31*sampleInterval, serving, fillers)
 	is.True(p.paces["a"].percent > 0)
 }
+
+// TestSmallNeedsAreNotHeldBack guards against fillers that hardly press being stopped at the peak of a load:
+// without room they all stood still, though they would not have brought the run over its target.
+func TestSmallNeedsAreNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	p, serving := besideRun(0.85)
+	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "light"}, interference.PressureEstimate{Value: 0.005, Samples: 500})
+	fillers := []fillerRun{{task: "a", run: 1, image: "light", cores: 3, used: 3}}
+	for sample := range 4 {
+		p.adjust(time.Duration(11+sample)*sampleInterval, serving, fillers)
+	}
+	is.Equal(p.paces["a"].percent, fullPace)
+	// Beside a run that is over its target also the small needs count.
+	serving[0].share = 1.5
+	for sample := range 6 {
+		p.adjust(time.Duration(15+sample)*sampleInterval, serving, fillers)
+	}
+	is.Equal(p.paces["a"].percent, 0)
+}
