--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 
 	"clementineflow/internal/configuration"
 	"clementineflow/internal/task"
+	"clementineflow/internal/wait"
 )
 
 const (
@@ -111,27 +112,12 @@
 		case <-woken:
 		}
 		work(ctx)
-		if !sleep(ctx, pause) {
+		if !wait.Sleep(ctx, pause) {
 			return nil
 		}
 	}
 }
 
-// sleep waits and reports whether the context is still valid.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // propose commits a mutation within proposeTimeout and wakes the loops that act on the result.
 func (c *Controller) propose(ctx context.Context, shard Shard, mutate func(map[string]*task.Record) error) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/internal/controller/read.go
+++ b/internal/controller/read.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"clementineflow/internal/task"
+	"clementineflow/internal/wait"
 )
 
 const (
@@ -93,7 +94,7 @@
 
 func (c *Controller) follow(ctx context.Context, last task.Record, updates chan<- task.Record) {
 	defer close(updates)
-	for sleep(ctx, watchInterval) {
+	for wait.Sleep(ctx, watchInterval) {
 		current, err := c.Get(ctx, last.ID)
 		if err != nil {
 			return
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 
 	"clementineflow/internal/job"
 	"clementineflow/internal/store"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -97,24 +98,17 @@
 			}
 			continue
 		}
-		c.pause(ctx, rand.N(electionJitter))
+		wait.Sleep(ctx, rand.N(electionJitter))
 		if free, _ := c.vacant(); !free {
 			continue
 		}
 		if err := c.stand(ctx); err != nil && ctx.Err() == nil {
 			c.config.Logger.Info("not elected", "error", err)
-			c.pause(ctx, electionJitter+rand.N(4*electionJitter))
+			wait.Sleep(ctx, electionJitter+rand.N(4*electionJitter))
 		}
 	}
 }
 
-func (c *Coordinator) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // stand takes the leadership and serves the term, or returns why it was not elected.
 func (c *Coordinator) stand(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -8,6 +8,7 @@
 	"clementineflow/internal/link"
 	"clementineflow/internal/planner"
 	"clementineflow/internal/store"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -82,10 +83,8 @@
 			delay = firstDialDelay
 		}
 		s.forget(ctx)
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, delay) {
 			return
-		case <-time.After(delay):
 		}
 		delay = min(2*delay, maxDialDelay)
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -13,6 +13,7 @@
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/planner"
 	"clementineflow/internal/store"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -97,10 +98,8 @@
 			return context.Cause(ctx)
 		}
 		t.config.Logger.Warn("progress can't be loaded yet", "error", err)
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, tickInterval) {
 			return context.Cause(ctx)
-		case <-time.After(tickInterval):
 		}
 	}
 }
@@ -255,10 +254,8 @@
 // renew keeps the leadership's lease and ends the term when it is lost.
 func (t *term) renew(ctx context.Context, lost context.CancelCauseFunc) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, renewInterval) {
 			return
-		case <-time.After(renewInterval):
 		}
 		sent := t.config.Now()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/store"
+	"clementineflow/internal/wait"
 )
 
 // Times of the calls that a caller waits for.
@@ -132,10 +133,8 @@
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin+retryDelay {
 			return 0, err
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, retryDelay) {
 			return 0, err
-		case <-time.After(retryDelay):
 		}
 	}
 }
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -10,6 +10,7 @@
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/store"
+	"clementineflow/internal/wait"
 )
 
 // Submit stores a job and returns what to tell the caller. The job's ID, payload and steps are set.
@@ -52,10 +53,8 @@
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
 			return g.giveUp(spec.ID, unanswered, err)
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, retryDelay) {
 			return g.giveUp(spec.ID, unanswered, err)
-		case <-time.After(retryDelay):
 		}
 	}
 }
@@ -142,10 +141,8 @@
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
 			return g.refuse(id, Unknown, last.Error())
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, retryDelay) {
 			return g.refuse(id, Unknown, last.Error())
-		case <-time.After(retryDelay):
 		}
 	}
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -5,9 +5,9 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"clementineflow/internal/store"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -71,12 +71,12 @@
 	for ctx.Err() == nil {
 		lease, err := r.writeRecord(ctx, value)
 		for err == nil && ctx.Err() == nil {
-			sleep(ctx, renewInterval)
+			wait.Sleep(ctx, renewInterval)
 			err = r.renewRecord(ctx, lease)
 		}
 		if ctx.Err() == nil {
 			r.config.Logger.Info("entry record is written again", "error", err)
-			sleep(ctx, retryInterval)
+			wait.Sleep(ctx, retryInterval)
 		}
 	}
 }
@@ -105,10 +105,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -168,13 +168,3 @@
 		a.conn.Close()
 	}
 }
-
-// pause waits for the duration and reports whether the context is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"clementineflow/internal/link"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -70,7 +71,7 @@
 		if !current || conn.Send(&wire.AgentPing{Sequence: sequence}) != nil {
 			return
 		}
-		if !pause(ctx, pingInterval) {
+		if !wait.Sleep(ctx, pingInterval) {
 			return
 		}
 	}
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"clementineflow/internal/job"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -14,7 +15,7 @@
 func (a *Agent) look(ctx context.Context) {
 	var reported time.Duration
 	for ctx.Err() == nil {
-		request, wait, ok := a.nextLook()
+		request, confirmation, ok := a.nextLook()
 		if !ok {
 			a.awaitWork(ctx, lookWait)
 			continue
@@ -25,7 +26,7 @@
 		cancel()
 		if err != nil {
 			a.lookFailed(err)
-			pause(ctx, retryDelay)
+			wait.Sleep(ctx, retryDelay)
 			continue
 		}
 		if !a.ofThisLife(answer) {
@@ -41,7 +42,7 @@
 		}
 		switch {
 		case fresh:
-			a.awaitWork(ctx, wait)
+			a.awaitWork(ctx, confirmation)
 		case a.config.Now()-sent < promptLook:
 			// The worker answers at once while ends are not confirmed.
 			a.awaitWork(ctx, retryDelay)
@@ -51,7 +52,7 @@
 
 // nextLook returns the next look, and how long to wait for a confirmation after it. ok is false while no
 // worker or no coordinator is known.
-func (a *Agent) nextLook() (request HoldRequest, wait time.Duration, ok bool) {
+func (a *Agent) nextLook() (request HoldRequest, confirmation time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.worker.ID == "" || a.fence == 0 {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"clementineflow/internal/planner"
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -91,7 +92,7 @@
 			a.settleAbsent(ctx, local, reason, unanswered)
 			return
 		}
-		if !pause(ctx, retryDelay) {
+		if !wait.Sleep(ctx, retryDelay) {
 			return
 		}
 	}
@@ -197,7 +198,7 @@
 			// The run is there after all; the look has taken it in.
 			return
 		}
-		if !pause(ctx, retryDelay) {
+		if !wait.Sleep(ctx, retryDelay) {
 			return
 		}
 	}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 			return true
 		}
 		a.config.Logger.Info("stop not answered", "task", task, "run", run, "error", err)
-		if !pause(ctx, retryDelay) {
+		if !wait.Sleep(ctx, retryDelay) {
 			return false
 		}
 	}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -7,6 +7,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
+
+	"clementineflow/internal/wait"
 )
 
 // Pauses of a mirror after a failed call. They grow, so that a store that is down is not called in a
@@ -62,10 +64,7 @@
 		}
 		pause := delay/2 + rand.N(delay/2)
 		delay = min(2*delay, maxRetryDelay)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		wait.Sleep(ctx, pause)
 	}
 }
 
--- /dev/null
+++ b/internal/wait/wait_test.go
@@ -0,0 +1,26 @@
+package wait_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/wait"
+)
+
+// TestSleep guards against a pause that outlives its context, and against one that ends early.
+func TestSleep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		is.True(wait.Sleep(t.Context(), time.Second))
+		is.Equal(time.Since(began), time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(!wait.Sleep(ctx, time.Minute))
+		is.Equal(time.Since(began), 2*time.Second)
+	})
+}
