--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/standin/kvstore"
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// pairDialer connects an entry with the handlers of the others, by address.
+type pairDialer map[string]func(link.Conn)
+
+// Dial implements link.Dialer.
+func (d pairDialer) Dial(_ context.Context, address string) (link.Conn, error) {
+	handle := d[address]
+	if handle == nil {
+		return nil, errors.Wrap(link.ErrDial, address)
+	}
+	near, far := link.Pipe()
+	go handle(far)
+	return near, nil
+}
+
+// entryAt returns the relay of an entry with a faulty path to the shared store.
+func entryAt(address string, memory *kvstore.Memory, dialer link.Dialer) (*Relay, *kvstore.Faulty) {
+	faulty := kvstore.NewFaulty(memory, 1)
+	return New(Config{Name: address, Address: address, Store: faulty, Dialer: dialer, Logger: log.New(io.Discard)}), faulty
+}
+
+// serve answers the calls on a link until it ends.
+func serve(ctx context.Context, r *Relay, conn link.Conn) {
+	for {
+		message, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		if call, ok := message.(*wire.StoreCall); ok {
+			r.Serve(ctx, conn, call)
+		}
+	}
+}
+
+// know makes an entry know the address of another.
+func know(t *testing.T, r *Relay, address string) {
+	t.Helper()
+	value, err := wire.Marshal(&record{Address: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.directory.apply([]store.Event{{KeyValue: store.KeyValue{Key: recordPrefix + address, Value: value}}})
+}
+
+// lose makes an entry notice that its own path is cut.
+func lose(ctx context.Context, r *Relay, faulty *kvstore.Faulty) {
+	faulty.SetFaults(kvstore.Faults{Down: true})
+	_, _ = r.Direct().Get(ctx, "any")
+}
+
+func put(key string) store.Transaction {
+	return store.Transaction{Writes: []store.Write{{Key: key, Value: []byte("x")}}}
+}
+
+// TestAnswersAreTheSameThroughAnotherEntry guards against an answer of the store that changes its meaning
+// on the way through another entry.
+func TestAnswersAreTheSameThroughAnotherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		memory := kvstore.NewMemory()
+		dialer := pairDialer{}
+		helper, _ := entryAt("helper", memory, dialer)
+		dialer["helper"] = func(conn link.Conn) { serve(ctx, helper, conn) }
+		r, faulty := entryAt("self", memory, dialer)
+		know(t, r, "helper")
+		lose(ctx, r, faulty)
+
+		revision, err := r.Commit(ctx, put("a"))
+		is.NoErr(err)
+		item, err := r.Get(ctx, "a")
+		is.NoErr(err)
+		is.Equal(item.Revision, revision)
+		_, err = r.Get(ctx, "b")
+		is.True(errors.Is(err, store.ErrNotFound))
+		conditional := put("a")
+		conditional.Conditions = []store.Condition{{Key: "a"}}
+		_, err = r.Commit(ctx, conditional)
+		var failed *store.ConditionError
+		is.True(errors.As(err, &failed))
+		is.Equal(failed.Revision("a"), revision)
+		items, at, err := r.ListAt(ctx, "a")
+		is.NoErr(err)
+		is.Equal(len(items), 1)
+		changes, err := r.Changes(ctx, "a", at, time.Second)
+		is.NoErr(err)
+		is.Equal(len(changes.Events), 0)
+		is.True(errors.Is(r.RenewLease(ctx, 999), store.ErrLeaseNotFound))
+		memory.Compact()
+		_, err = r.Changes(ctx, "a", 0, 0)
+		is.True(errors.Is(err, store.ErrCompacted))
+		cancel()
+		r.drop(r.peer)
+	})
+}
+
+// TestCommitWithoutAnswerIsUnknown guards against a commit that is called refused, or sent to a second
+// entry, though the first one may have made it.
+func TestCommitWithoutAnswerIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var asked atomic.Int64
+		dialer := pairDialer{}
+		for _, address := range []string{"mute-1", "mute-2"} {
+			dialer[address] = func(conn link.Conn) {
+				if _, err := conn.Receive(); err == nil {
+					asked.Add(1)
+				}
+				<-conn.Done()
+			}
+		}
+		r, faulty := entryAt("self", kvstore.NewMemory(), dialer)
+		know(t, r, "mute-1")
+		know(t, r, "mute-2")
+		lose(t.Context(), r, faulty)
+		_, err := r.Commit(t.Context(), put("a"))
+		is.True(errors.Is(err, store.ErrOutcomeUnknown))
+		is.Equal(asked.Load(), int64(1))
+	})
+}
+
+// TestEntryWithoutPathHelpsNoOne guards against entries that pass a call on in circles while the store is
+// away for all of them, and against calls that hold up an entry without bound.
+func TestEntryWithoutPathHelpsNoOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		helper, faulty := entryAt("helper", kvstore.NewMemory(), pairDialer{})
+		near, far := link.Pipe()
+		defer near.Close()
+		lose(t.Context(), helper, faulty)
+		served := faulty.Counters()
+		helper.Serve(t.Context(), far, &wire.StoreCall{Sequence: 1, Operation: wire.StoreGet, Key: "a", BudgetMillis: 100})
+		reply, err := near.Receive()
+		is.NoErr(err)
+		is.Equal(reply.(*wire.StoreReply).Outcome, wire.StoreNotDone)
+		is.Equal(faulty.Counters(), served)
+		for range maxCalls {
+			helper.slots <- struct{}{}
+		}
+		helper.Serve(t.Context(), far, &wire.StoreCall{Sequence: 2, Operation: wire.StoreGet, Key: "a", BudgetMillis: 100})
+		reply, err = near.Receive()
+		is.NoErr(err)
+		is.Equal(reply.(*wire.StoreReply).Outcome, wire.StoreNotDone)
+	})
+}
