--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -33,19 +33,12 @@
 		return
 	}
 	guards := append(t.config.View.Conditions(t.applied, true), store.Condition{Key: leaderKey, Revision: store.Revision(t.number)})
-	limit := (store.MaxTransactionEntries - len(guards)) / max(entriesPerRecord, removalEntries)
-	if pause := t.committedAt + commitInterval - t.config.Now(); pause > 0 && !t.planner.Pressing(limit) {
-		if t.gather == nil {
-			t.gather = time.After(pause)
-		}
-		return
-	}
-	next := t.planner.NextCommit(limit, time.Now().UnixMilli())
+	room := store.MaxTransactionEntries - len(guards)
+	next := t.planner.NextCommit(room/max(entriesPerRecord, removalEntries), time.Now().UnixMilli())
 	if next.Empty() {
 		return
 	}
 	t.committing = true
-	t.committedAt = t.config.Now()
 	transaction := buildTransaction(guards, next)
 	snapshot := t.applied
 	t.group.Go(func() {
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -69,10 +69,7 @@
 	// firstCommitDelay and maxCommitDelay are the pauses after failed commits.
 	firstCommitDelay = 10 * time.Millisecond
 	maxCommitDelay   = 320 * time.Millisecond
-	// commitInterval is the shortest time between two commits, in which the ends of runs are gathered. A new
-	// job and a cancellation do not wait.
-	commitInterval = 20 * time.Millisecond
-	expireInterval = 5 * time.Second
+	expireInterval   = 5 * time.Second
 	// agentForgetTime is how long an agent's record is kept while the agent can't be reached.
 	agentForgetTime = 2 * time.Minute
 	// eventQueueLength bounds the events that wait for the term's loop.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -35,12 +35,8 @@
 	// retry fires when the next commit may follow a failed one; it is nil if none has failed.
 	retry      <-chan time.Time
 	retryDelay time.Duration
-	// committedAt is when the latest commit was sent. Changes that follow soon are gathered until gather
-	// fires; it is nil while none are.
-	committedAt time.Duration
-	gather      <-chan time.Time
-	sessions    map[string]*session
-	group       *conc.WaitGroup
+	sessions   map[string]*session
+	group      *conc.WaitGroup
 }
 
 func newTerm(config Config, number uint64, lease store.LeaseID, validUntil time.Duration) *term {
@@ -128,8 +124,6 @@
 		case <-operator:
 		case <-t.retry:
 			t.retry = nil
-		case <-t.gather:
-			t.gather = nil
 		case <-tick.C:
 			t.planner.Advance(t.config.Now())
 			t.planner.Tick()
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -45,15 +45,10 @@
 	e.effects = append(e.effects, effect{order: order})
 }
 
-// Pressing reports whether the next commit should not wait for more changes: a job or a cancellation has
-// come, or there is more to write than one commit of limit records holds.
-func (p *Planner) Pressing(limit int) bool { return p.fresh || len(p.dirty) >= limit }
-
 // NextCommit assigns waiting tasks and returns at most limit records to write. wallMillis is the time
 // of day, which is recorded with finished jobs. It must not be called while another commit is in flight.
 func (p *Planner) NextCommit(limit int, wallMillis int64) *Commit {
 	p.assign()
-	p.fresh = false
 	c := &Commit{}
 	count := min(limit, len(p.dirty))
 	for _, e := range p.dirty[:count] {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -31,8 +31,6 @@
 	durations durationTable
 	// active lists the jobs that are not final, oldest first.
 	active []*entry
-	// fresh is set while a job or a cancellation has come since the last commit.
-	fresh bool
 	// removable lists the ids of jobs whose records can be deleted.
 	removable []string
 }
@@ -122,7 +120,6 @@
 	e := newEntry(spec, progress, revision, p.now)
 	e.handedIn = p.now - max(0, age)
 	p.jobs[spec.ID] = e
-	p.fresh = true
 	if !progress.State.Final() {
 		p.active = append(p.active, e)
 	}
@@ -201,7 +198,6 @@
 		return
 	}
 	p.log("job cancelled", "job", id)
-	p.fresh = true
 	p.finish(e, job.StateCancelled)
 }
 
