Refuse hand-ins at once while the store is known to be away

Change: after attempts have failed for 0.5 s on end, one hand-in each 0.5 s is tried and the others are refused without a write, so the refusal is true.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,10 +60,13 @@
 type Gateway struct {
 	config    Config
 	unsettled *unsettled
+	outage    *outage
 }
 
 // New returns a gateway.
-func New(config Config) *Gateway { return &Gateway{config: config, unsettled: newUnsettled()} }
+func New(config Config) *Gateway {
+	return &Gateway{config: config, unsettled: newUnsettled(), outage: &outage{}}
+}
 
 // Ready reports whether the entry knows a configuration.
 func (g *Gateway) Ready() bool { return g.config.View.Snapshot().Config != nil }
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -34,11 +34,15 @@
 	case err != nil:
 		return g.refuse(spec.ID, Invalid, err.Error())
 	}
+	if !g.outage.allow(time.Now()) {
+		return g.refuse(spec.ID, Refused, "the store is away")
+	}
 	began := time.Now()
 	// unanswered is set once a write may have taken effect.
 	unanswered := false
 	for {
 		reply, err := g.store(ctx, host, path, spec)
+		away := g.outage.note(err != nil, time.Now())
 		if err == nil {
 			if unanswered && reply.Outcome != Accepted {
 				// An earlier attempt may still take effect.
@@ -47,7 +51,7 @@
 			return reply
 		}
 		unanswered = unanswered || errors.Is(err, store.ErrOutcomeUnknown)
-		if !unanswered && time.Since(began) > refuseAfter {
+		if !unanswered && (away || time.Since(began) > refuseAfter) {
 			return g.refuse(spec.ID, Refused, err.Error())
 		}
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -20,7 +20,8 @@
 func plan(agents int) *Planner {
 	p := New(testTiming, time.Second)
 	config := &operatorconfig.Config{Queues: []operatorconfig.Queue{
-		{Name: "q", Service: "pool", Priority: 1, MaxAttempts: 3}, {Name: "urgent", Service: "pool", MaxAttempts: 3},
+		{Name: "q", Service: "pool", Priority: 1, MaxAttempts: 3},
+		{Name: "urgent", Service: "pool", MaxAttempts: 3},
 		{Name: "timed", Service: "pool", Priority: 1, MaxAttempts: 3, SlackFactor: 2, Objective: time.Second},
 	}}
 	config.Index()
--- a/test/jobs/relay_test.go
+++ b/test/jobs/relay_test.go
@@ -73,6 +73,10 @@
 		began := time.Now()
 		is.Equal(r.submit(r.entries[0], spec("0000000000000041", 1)), gateway.Refused)
 		is.True(time.Since(began) < time.Second)
+		// The outage is known now; the next caller is not held.
+		began = time.Now()
+		is.Equal(r.submit(r.entries[0], spec("0000000000000043", 1)), gateway.Refused)
+		is.True(time.Since(began) < 50*time.Millisecond)
 		for _, e := range r.entries {
 			e.faulty.SetFaults(kvstore.Faults{})
 		}
