Pace fillers up to nine tenths of the targets

With pressures known better and small needs let be, the old aim of 0.8 left more room unused than the targets need. Change: the aimed latency is 0.9 of the target, and a run counts as relieved at 0.93: with 0.85, below the aim, a run that had once been over its target never did.

--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -18,13 +18,13 @@
 	// paceStep bounds how much a pace rises at a time; it falls without a bound.
 	paceStep = 40
 	// aimedShare is the share of a latency target that fillers may bring a run to.
-	aimedShare = 0.8
+	aimedShare = 0.9
 	// maxOver is how long a run may be over its target before the fillers that press it stand still, and
 	// maxOverOfAll before all fillers beside it do: what was learned of their pressure may be wrong.
 	maxOver      = 900 * time.Millisecond
 	maxOverOfAll = 2 * time.Second
 	// clearShare is the share of its target at which a run that was over it counts as relieved.
-	clearShare = 0.85
+	clearShare = 0.93
 	// maxElapsed bounds the time for which the model lets its estimates drift at once.
 	maxElapsed = 5 * time.Second
 	// smallNeed is the part of the shared resource up to which a filler is not held back beside a run that keeps
