One interface for the whole of the store

The store with its transactions and its feed was declared in gateway, coordinator and relay; store.Service serves all three. No behaviour changed.

--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -20,19 +20,12 @@
 	errTermLost = errors.New("coordinator: term lost")
 )
 
-// Store is what the coordinator needs of the platform's key-value service.
-type Store interface {
-	store.Store
-	store.Transactor
-	store.Feed
-}
-
 // Config holds what a Coordinator depends on.
 type Config struct {
 	// Name is this entry's name and Address the address of its links.
 	Name    string
 	Address string
-	Store   Store
+	Store   store.Service
 	Dialer  link.Dialer
 	View    *operatorconfig.View
 	Timing  planner.Timing
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,16 +33,9 @@
 	negativeAge = 500 * time.Millisecond
 )
 
-// Store is what a gateway needs of the platform's key-value service.
-type Store interface {
-	store.Store
-	store.Transactor
-	store.Feed
-}
-
 // Config holds what a Gateway depends on.
 type Config struct {
-	Store       Store
+	Store       store.Service
 	View        *operatorconfig.View
 	Coordinator Coordinator
 	Logger      *log.Logger
--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -14,7 +14,7 @@
 
 // direct makes all calls on this entry's own path to the store and notes whether it works.
 type direct struct {
-	Store
+	store.Service
 	health *health
 }
 
@@ -29,7 +29,7 @@
 
 // Get implements store.Store.
 func (d *direct) Get(ctx context.Context, key string) (store.KeyValue, error) {
-	return watched(d, 0, func() (store.KeyValue, error) { return d.Store.Get(ctx, key) })
+	return watched(d, 0, func() (store.KeyValue, error) { return d.Service.Get(ctx, key) })
 }
 
 // listing is the result of ListAt.
@@ -41,7 +41,7 @@
 // ListAt implements store.Feed.
 func (d *direct) ListAt(ctx context.Context, prefix string) ([]store.KeyValue, store.Revision, error) {
 	result, err := watched(d, suspectAfter, func() (listing, error) {
-		items, at, err := d.Store.ListAt(ctx, prefix)
+		items, at, err := d.Service.ListAt(ctx, prefix)
 		return listing{items, at}, err
 	})
 	return result.items, result.at, err
@@ -49,16 +49,16 @@
 
 // Changes implements store.Feed.
 func (d *direct) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
-	return watched(d, wait, func() (store.Changes, error) { return d.Store.Changes(ctx, prefix, after, wait) })
+	return watched(d, wait, func() (store.Changes, error) { return d.Service.Changes(ctx, prefix, after, wait) })
 }
 
 // Commit implements store.Transactor.
 func (d *direct) Commit(ctx context.Context, transaction store.Transaction) (store.Revision, error) {
-	return watched(d, 0, func() (store.Revision, error) { return d.Store.Commit(ctx, transaction) })
+	return watched(d, 0, func() (store.Revision, error) { return d.Service.Commit(ctx, transaction) })
 }
 
 // RenewLease implements store.Store.
 func (d *direct) RenewLease(ctx context.Context, lease store.LeaseID) error {
-	_, err := watched(d, 0, func() (struct{}, error) { return struct{}{}, d.Store.RenewLease(ctx, lease) })
+	_, err := watched(d, 0, func() (struct{}, error) { return struct{}{}, d.Service.RenewLease(ctx, lease) })
 	return err
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,19 +13,12 @@
 	"clementineflow/internal/wire"
 )
 
-// Store is what a Relay needs of, and offers as, the platform's key-value service.
-type Store interface {
-	store.Store
-	store.Transactor
-	store.Feed
-}
-
 // Config holds what a Relay depends on.
 type Config struct {
 	// Name is this entry's name and Address the address of its links.
 	Name    string
 	Address string
-	Store   Store
+	Store   store.Service
 	Dialer  link.Dialer
 	Logger  *log.Logger
 }
@@ -33,7 +26,7 @@
 // Relay is a store whose calls go through another entry while this entry's own path is cut. Calls that
 // open or end leases and single-key writes always take the own path. It is safe for concurrent use.
 type Relay struct {
-	Store
+	store.Service
 	config    Config
 	direct    *direct
 	directory *directory
@@ -49,15 +42,15 @@
 // New returns a relay; Run keeps this entry known to the others.
 func New(config Config) *Relay {
 	health := &health{logger: config.Logger}
-	own := &direct{Store: config.Store, health: health}
+	own := &direct{Service: config.Store, health: health}
 	return &Relay{
-		Store: own, config: config, direct: own,
+		Service: own, config: config, direct: own,
 		directory: newDirectory(config.Address), slots: make(chan struct{}, maxCalls),
 	}
 }
 
 // Direct returns the store without the detour, which notes whether this entry's own path works.
-func (r *Relay) Direct() Store { return r.direct }
+func (r *Relay) Direct() store.Service { return r.direct }
 
 // Run keeps this entry's record and follows those of the others until the context ends.
 func (r *Relay) Run(ctx context.Context) {
