Name a ping that has arrived in the test of repeated starts

The test's order named ping 1 without waiting for it; if the agent had reported before it sent its first ping, it refused the order as too old, rightly. Change: the test takes the number of a ping that it has received. Its checks are as they were.

--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -89,11 +89,21 @@
 // came again, too old, after it had ended: the task would be done twice (history seed 5244).
 func TestRepeatedStartOfAnEndedRun(t *testing.T) {
 	linked(t, func(is *is.I, conn link.Conn, _ *jobworker.Worker) {
+		lastPing := uint64(0)
 		report := &wire.AgentReport{}
-		for !report.Complete {
-			report = receive(t, conn).(*wire.AgentReport)
+		// An order names a ping that has arrived: one for a ping that was not sent yet is too old.
+		for !report.Complete || lastPing == 0 {
+			message, err := conn.Receive()
+			is.NoErr(err)
+			switch message := message.(type) {
+			case *wire.AgentPing:
+				lastPing = message.Sequence
+				is.NoErr(conn.Send(&wire.PingReply{Sequence: lastPing}))
+			case *wire.AgentReport:
+				report = message
+			}
 		}
-		order := &wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: 1}
+		order := &wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: lastPing}
 		is.NoErr(conn.Send(order))
 		ended := receive(t, conn, wire.KindRunProgress).(*wire.RunEnded)
 		is.Equal(ended.Ends[0].Task, testTask)
