--- /dev/null
+++ b/internal/planner/size_test.go
@@ -0,0 +1,240 @@
+package planner
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/operatorconfig"
+	"clementineflow/internal/resource"
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// Shape of the load that a simulated region plays: checks, certificates whose tasks fill, and lasting
+// watches with a latency target.
+const (
+	regionStep      = 5 * time.Millisecond
+	reportInterval  = time.Second
+	recordsPerWrite = 8
+	checkTasks      = 21
+	fillTasks       = 80
+	watchTasks      = 24
+	checkTime       = 800 * time.Millisecond
+	fillTime        = 2200 * time.Millisecond
+	servingImages   = 16
+	fillingImages   = 30
+	workerMilliCPU  = 18000
+	workerMemory    = 64 << 30
+	stepsOfChecks   = 2
+)
+
+// dueEnd is a run that ends at a time.
+type dueEnd struct {
+	at   time.Duration
+	task string
+	run  uint32
+	life job.WorkerLife
+}
+
+// dueEnds is a heap of runs by their ends.
+type dueEnds []dueEnd
+
+func (d dueEnds) Len() int           { return len(d) }
+func (d dueEnds) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dueEnds) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dueEnds) Push(x any)        { *d = append(*d, x.(dueEnd)) }
+func (d *dueEnds) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// simulatedRegion drives a planner with workers that carry out what it orders, in virtual time.
+type simulatedRegion struct {
+	planner  *Planner
+	random   *rand.Rand
+	workers  int
+	now      time.Duration
+	ends     dueEnds
+	numbers  map[string]uint64
+	revision store.Revision
+	jobs     int
+	starts   int
+	// owed holds the jobs of each kind that are due to be handed in.
+	owedChecks, owedFills float64
+}
+
+func newSimulatedRegion(workers int) *simulatedRegion {
+	p := New(testTiming, time.Second)
+	config := &operatorconfig.Config{Queues: []operatorconfig.Queue{
+		{Name: "check", Service: "pool", MaxAttempts: 3, SlackFactor: 2, Objective: 250 * time.Millisecond},
+		{Name: "fill", Service: "pool", Priority: 2, MaxAttempts: 3, SlackFactor: 2, Objective: time.Second},
+		{Name: "watch", Service: "pool", MaxAttempts: 3},
+	}}
+	config.Index()
+	p.SetOperator(operatorconfig.Snapshot{Config: config, Revision: 1})
+	s := &simulatedRegion{
+		planner: p, random: rand.New(rand.NewPCG(1, 2)), workers: workers, now: time.Second, numbers: map[string]uint64{},
+	}
+	for i := range workers {
+		p.Report(&wire.AgentReport{
+			Agent: agentName(i), WorkerID: "w-" + agentName(i), Born: 1, Service: "pool",
+			Zone: fmt.Sprintf("zone-%d", i%6), Labels: []string{"a", fmt.Sprintf("rack-%d", i/8)},
+			Capacity: resource.Quantity{MilliCPU: workerMilliCPU, MemoryBytes: workerMemory}, Complete: true,
+		})
+	}
+	for range workers / 6 {
+		s.handIn("watch", job.Step{
+			Count: watchTasks, Need: resource.Quantity{MilliCPU: 3200, MemoryBytes: 6 << 30}, Lasting: true,
+			Image: fmt.Sprintf("serving-%d", s.random.IntN(servingImages)), LatencyTarget: 50 * time.Millisecond,
+		})
+	}
+	return s
+}
+
+// handIn adds a job of one step.
+func (s *simulatedRegion) handIn(queue string, steps ...job.Step) {
+	s.jobs++
+	for i := 1; i < len(steps); i++ {
+		steps[i].After = []int{i - 1}
+	}
+	s.planner.AddJob(&job.Spec{ID: fmt.Sprintf("%016x", s.jobs), Queue: queue, Service: "pool", Steps: steps}, nil, 0, 0)
+}
+
+// step plays regionStep of a load of the given starts a second.
+func (s *simulatedRegion) step(startsPerSecond float64) {
+	s.now += regionStep
+	s.planner.Advance(s.now)
+	share := startsPerSecond * regionStep.Seconds() / 2
+	for s.owedChecks += share; s.owedChecks > 0; s.owedChecks -= checkTasks {
+		check := job.Step{
+			Count: checkTasks / stepsOfChecks, Estimate: checkTime,
+			Need: resource.Quantity{MilliCPU: 300 + s.random.Int64N(700), MemoryBytes: 1 << 30},
+		}
+		s.handIn("check", check, check)
+	}
+	for s.owedFills += share; s.owedFills > 0; s.owedFills -= fillTasks {
+		s.handIn("fill", job.Step{
+			Count: fillTasks, Estimate: fillTime, Filler: true, Checkpoints: true,
+			Need:  resource.Quantity{MilliCPU: 1000 + s.random.Int64N(1500), MemoryBytes: 3 << 30},
+			Image: fmt.Sprintf("filling-%d", s.random.IntN(fillingImages)),
+		})
+	}
+	s.endRuns()
+	s.reportProgress()
+	s.commit()
+}
+
+// endRuns reports the runs whose time has come.
+func (s *simulatedRegion) endRuns() {
+	for len(s.ends) > 0 && s.ends[0].at <= s.now {
+		end := heap.Pop(&s.ends).(dueEnd)
+		s.numbers[end.life.Agent]++
+		s.planner.Ended(end.life.Agent, &wire.RunEnded{WorkerID: end.life.ID, Born: end.life.Born, Ends: []wire.EndRow{{
+			Number: s.numbers[end.life.Agent], Task: end.task, Run: end.run, Outcome: uint8(job.OutcomeDone),
+		}}})
+	}
+}
+
+// reportProgress lets each agent report once in reportInterval, in turn.
+func (s *simulatedRegion) reportProgress() {
+	steps := int(reportInterval / regionStep)
+	turn := int(s.now/regionStep) % steps
+	if turn == 0 {
+		s.planner.Tick()
+	}
+	for i := turn; i < s.workers; i += steps {
+		report := &wire.RunProgress{WorkerID: "w-" + agentName(i), Born: 1}
+		for r := range s.planner.lives[s.planner.agents[agentName(i)].life] {
+			report.Runs = append(report.Runs, wire.RunRow{Task: r.name(), Run: r.task().Run, Percent: 30})
+			if r.definition().LatencyTarget > 0 {
+				report.Loads = append(report.Loads, wire.LoadRow{Task: r.name(), Load: 0.3 + 0.2*s.random.Float32()})
+				report.Pressures = append(report.Pressures, wire.PressureRow{
+					Serving: r.definition().Image, Filler: fmt.Sprintf("filling-%d", s.random.IntN(fillingImages)),
+					Value: 0.03 * s.random.Float32(), Samples: 5,
+				})
+			}
+		}
+		s.planner.RunProgress(agentName(i), report)
+	}
+}
+
+// commit writes what the planner decided and carries out its orders.
+func (s *simulatedRegion) commit() {
+	for {
+		c := s.planner.NextCommit(recordsPerWrite, s.now.Milliseconds())
+		if c.Empty() {
+			break
+		}
+		s.revision++
+		s.planner.Committed(c, s.revision)
+	}
+	s.planner.TakeEvents()
+	s.planner.TakeTimings()
+	for _, order := range s.planner.TakeOrders() {
+		start, ok := order.Message.(*wire.StartRun)
+		if !ok {
+			continue
+		}
+		s.starts++
+		if start.LatencyTargetMillis > 0 {
+			continue
+		}
+		took := checkTime
+		if start.Filler {
+			took = fillTime
+		}
+		s.ends = append(s.ends, dueEnd{})
+		s.ends = s.ends[:len(s.ends)-1]
+		heap.Push(&s.ends, dueEnd{
+			at: s.now + took*time.Duration(70+s.random.IntN(60))/100, task: start.Task, run: start.Run,
+			life: job.WorkerLife{Agent: order.Agent, ID: start.WorkerID, Born: start.Born},
+		})
+	}
+}
+
+// BenchmarkPlanner measures what a start costs the planner, with its reports, records and end, at several
+// numbers of workers. One operation is one start.
+func BenchmarkPlanner(b *testing.B) {
+	for _, size := range []struct {
+		workers int
+		starts  float64
+	}{{11, 50}, {69, 400}, {240, 900}, {530, 900}} {
+		b.Run(fmt.Sprintf("workers=%d/starts=%.0f", size.workers, size.starts), func(b *testing.B) {
+			s := newSimulatedRegion(size.workers)
+			for s.now < 8*time.Second {
+				s.step(size.starts)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for target := s.starts + b.N; s.starts < target; {
+				s.step(size.starts)
+			}
+			b.ReportMetric(float64(s.planner.waitingSteps()), "waiting-steps")
+		})
+	}
+}
+
+// BenchmarkIdlePass measures a pass over a full region in which nothing can be placed.
+func BenchmarkIdlePass(b *testing.B) {
+	for _, workers := range []int{69, 530} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s := newSimulatedRegion(workers)
+			for s.now < 8*time.Second {
+				s.step(float64(workers) * 12)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				s.planner.NextCommit(recordsPerWrite, 0)
+			}
+			b.ReportMetric(float64(s.planner.waitingSteps()), "waiting-steps")
+		})
+	}
+}
+
+// waitingSteps returns the number of ready steps with waiting tasks.
+func (p *Planner) waitingSteps() int { return len(p.candidates()) }
