Keep up to four commits in flight, and start first what starts tasks

Cause: one transaction of at most 8 records at a time caps progress near 1,300 records a second at 6 ms a call, and each start waits behind the ends of others. Ruled out: records in two commits at once (a job is in one at a time; the revision of its record refuses a second one in any case). Change: up to four commits in flight over disjoint jobs, any order of answers; records that start something go first; a further commit goes out only with a start in it or when it is full, so that ends that come one by one still share a write; a record takes two entries of a transaction, so 12 instead of 8 records fit beside 8 guards; commits that fail together count as one failure for the pause that follows.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -21,24 +21,28 @@
 	err      error
 }
 
-// entriesPerRecord is the condition on and the write of a progress record.
-const entriesPerRecord = 2
+// maxCommits bounds the commits in flight. One at a time carries too few records when the store is slow or
+// thousands of tasks start and end each second.
+const maxCommits = 4
 
-// removalEntries is the number of keys that are deleted with a job.
-const removalEntries = 3
+// startCommits writes the planner's next records. Commits in flight hold different jobs, and each of them is
+// under the same guards, so they may be written in any order.
+func (t *term) startCommits(ctx context.Context) {
+	for t.commits < maxCommits && t.startCommit(ctx) {
+	}
+}
 
-// startCommit writes the planner's next records, unless a commit is in flight.
-func (t *term) startCommit(ctx context.Context) {
-	if t.committing || t.retry != nil || t.applied.Config == nil || !t.valid() {
-		return
+// startCommit starts one commit and reports whether there was anything to write.
+func (t *term) startCommit(ctx context.Context) bool {
+	if t.retry != nil || t.applied.Config == nil || !t.valid() {
+		return false
 	}
 	guards := append(t.config.View.Conditions(t.applied, true), store.Condition{Key: leaderKey, Revision: store.Revision(t.number)})
-	room := store.MaxTransactionEntries - len(guards)
-	next := t.planner.NextCommit(room/max(entriesPerRecord, removalEntries), time.Now().UnixMilli())
+	next := t.planner.NextCommit(store.MaxTransactionEntries-len(guards), time.Now().UnixMilli(), t.commits > 0)
 	if next.Empty() {
-		return
+		return false
 	}
-	t.committing = true
+	t.commits++
 	transaction := buildTransaction(guards, next)
 	snapshot := t.applied
 	t.group.Go(func() {
@@ -50,6 +54,7 @@
 			commit: next, snapshot: snapshot, sent: sent, took: time.Since(sent), revision: revision, err: err,
 		}})
 	})
+	return true
 }
 
 // buildTransaction returns the transaction that writes the commit's records under the guards.
@@ -66,15 +71,19 @@
 	return transaction
 }
 
-// delayCommit makes the next commit wait after a failed one, for longer with each failure in a row.
+// delayCommit makes the next commit wait after a failed one, for longer with each failure in a row. Commits
+// that were in flight together fail together and count once.
 func (t *term) delayCommit() {
+	if t.retry != nil {
+		return
+	}
 	t.retryDelay = min(max(2*t.retryDelay, firstCommitDelay), maxCommitDelay)
 	t.retry = time.After(t.retryDelay)
 }
 
 // handleCommit takes in the outcome of a commit.
 func (t *term) handleCommit(result *commitResult) {
-	t.committing = false
+	t.commits--
 	commitSeconds.Update(result.took.Seconds())
 	if result.err == nil {
 		t.retryDelay = 0
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -30,8 +30,8 @@
 	planner *planner.Planner
 	loaded  map[string]store.KeyValue
 	applied operatorconfig.Snapshot
-	// committing is set while a commit is in flight.
-	committing bool
+	// commits is the number of commits in flight.
+	commits int
 	// retry fires when the next commit may follow a failed one; it is nil if none has failed.
 	retry      <-chan time.Time
 	retryDelay time.Duration
@@ -236,7 +236,7 @@
 
 // flush logs the planner's decisions, sends its orders and starts the next commit.
 func (t *term) flush(ctx context.Context) {
-	t.startCommit(ctx)
+	t.startCommits(ctx)
 	for _, decision := range t.planner.TakeEvents() {
 		t.config.Logger.Info(decision.Message, decision.Fields...)
 	}
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"clementineflow/internal/job"
@@ -8,6 +9,13 @@
 	"clementineflow/internal/wire"
 )
 
+const (
+	// recordEntries is the number of entries of a transaction that a record takes: a condition and a write.
+	recordEntries = 2
+	// removalEntries is the number of keys that are deleted with a job.
+	removalEntries = 3
+)
+
 // Record is the progress record of one job to be written.
 type Record struct {
 	Job      string
@@ -45,37 +53,64 @@
 	e.effects = append(e.effects, effect{order: order})
 }
 
-// NextCommit assigns waiting tasks and returns at most limit records to write. wallMillis is the time
-// of day, which is recorded with finished jobs. It must not be called while another commit is in flight.
-func (p *Planner) NextCommit(limit int, wallMillis int64) *Commit {
+// NextCommit assigns waiting tasks and returns records to write that take at most room entries of a
+// transaction. wallMillis is the time of day, which is recorded with finished jobs.
+//
+// Several commits may be in flight: a job is in one of them at a time, so that they can be written in any
+// order. While others are in flight, busy is set; records that start nothing then wait for a full commit, so
+// that ends which come one by one share a write.
+func (p *Planner) NextCommit(room int, wallMillis int64, busy bool) *Commit {
 	p.assign()
 	c := &Commit{}
-	count := min(limit, len(p.dirty))
-	for _, e := range p.dirty[:count] {
-		if e.progress.State.Final() && e.progress.EndedAtMillis == 0 {
-			e.progress.EndedAtMillis = wallMillis
-		}
-		value, err := job.EncodeProgress(e.progress)
-		if err != nil {
-			p.log("progress can't be encoded", "job", e.spec.ID, "error", err)
-			continue
-		}
-		c.Records = append(c.Records, Record{Job: e.spec.ID, Revision: e.revision, Value: value})
-		c.entries = append(c.entries, e)
-		c.effects = append(c.effects, e.effects)
-		e.effects, e.dirty, e.inFlight = nil, false, true
-	}
-	p.dirty = append([]*entry(nil), p.dirty[count:]...)
-	if len(c.Records) == 0 {
-		c.Remove, p.removable = p.removable, nil
-		if len(c.Remove) > limit {
-			p.removable = c.Remove[limit:]
-			c.Remove = c.Remove[:limit]
-		}
+	count := room / recordEntries
+	chosen := p.chooseRecords(count)
+	if busy && len(chosen) < count && !slices.ContainsFunc(chosen, (*entry).starts) {
+		return c
+	}
+	for _, e := range chosen {
+		p.addRecord(c, e, wallMillis)
 	}
+	p.dirty = slices.DeleteFunc(p.dirty, func(e *entry) bool { return !e.dirty })
+	count = min(len(p.removable), (room-recordEntries*len(c.Records))/removalEntries)
+	c.Remove = slices.Clone(p.removable[:count])
+	p.removable = p.removable[count:]
 	return c
 }
 
+// chooseRecords returns at most count jobs whose records can be written now: first those that start
+// something, then the others in the order of their changes.
+func (p *Planner) chooseRecords(count int) []*entry {
+	chosen := make([]*entry, 0, count)
+	for _, starting := range []bool{true, false} {
+		for _, e := range p.dirty {
+			if len(chosen) == count {
+				return chosen
+			}
+			if !e.inFlight && e.starts() == starting {
+				chosen = append(chosen, e)
+			}
+		}
+	}
+	return chosen
+}
+
+// addRecord adds the record of a job to a commit.
+func (p *Planner) addRecord(c *Commit, e *entry, wallMillis int64) {
+	if e.progress.State.Final() && e.progress.EndedAtMillis == 0 {
+		e.progress.EndedAtMillis = wallMillis
+	}
+	e.dirty = false
+	value, err := job.EncodeProgress(e.progress)
+	if err != nil {
+		p.log("progress can't be encoded", "job", e.spec.ID, "error", err)
+		return
+	}
+	c.Records = append(c.Records, Record{Job: e.spec.ID, Revision: e.revision, Value: value})
+	c.entries = append(c.entries, e)
+	c.effects = append(c.effects, e.effects)
+	e.effects, e.inFlight = nil, true
+}
+
 // Committed takes in that the commit was written with the revision, and releases its effects.
 func (p *Planner) Committed(c *Commit, revision store.Revision) {
 	for i, e := range c.entries {
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -109,6 +109,16 @@
 	e.count(r.step, phase, 1)
 }
 
+// starts reports whether the next record of the job starts a task.
+func (e *entry) starts() bool {
+	for i := range e.effects {
+		if e.effects[i].start.entry != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // ready reports whether the tasks of the step may run: all steps that it depends on are done.
 func (e *entry) ready(step int) bool {
 	for _, earlier := range e.spec.Steps[step].After {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -52,7 +52,7 @@
 // commit writes everything that waits and returns the start orders by agent.
 func commit(p *Planner) map[string]int {
 	for revision := store.Revision(1); ; revision++ {
-		c := p.NextCommit(10, 0)
+		c := p.NextCommit(20, 0, false)
 		if c.Empty() {
 			break
 		}
@@ -104,7 +104,7 @@
 	is := is.New(t)
 	p := plan(1)
 	add(p, "a", "q", job.Step{Count: 1})
-	c := p.NextCommit(10, 0)
+	c := p.NextCommit(20, 0, false)
 	is.Equal(len(p.TakeOrders()), 0)
 	p.Failed(c, func(string) (store.Revision, bool) { return 0, false })
 	is.Equal(len(p.TakeOrders()), 0)
@@ -117,7 +117,7 @@
 	is := is.New(t)
 	p := plan(2)
 	add(p, "a", "q", job.Step{Count: 8})
-	c := p.NextCommit(10, 0)
+	c := p.NextCommit(20, 0, false)
 	operator := p.operator
 	operator.ZonesOut = map[string]store.Revision{"north": 7}
 	p.Failed(c, func(string) (store.Revision, bool) { return 0, false })
--- a/internal/planner/size_test.go
+++ b/internal/planner/size_test.go
@@ -19,7 +19,7 @@
 const (
 	regionStep      = 5 * time.Millisecond
 	reportInterval  = time.Second
-	recordsPerWrite = 8
+	entriesPerWrite = 24
 	checkTasks      = 21
 	fillTasks       = 80
 	watchTasks      = 24
@@ -40,6 +40,12 @@
 	life job.WorkerLife
 }
 
+// endKey names a listed end.
+type endKey struct {
+	agent  string
+	number uint64
+}
+
 // dueEnds is a heap of runs by their ends.
 type dueEnds []dueEnd
 
@@ -55,11 +61,13 @@
 
 // simulatedRegion drives a planner with workers that carry out what it orders, in virtual time.
 type simulatedRegion struct {
-	planner  *Planner
-	random   *rand.Rand
-	workers  int
-	now      time.Duration
-	ends     dueEnds
+	planner *Planner
+	random  *rand.Rand
+	workers int
+	now     time.Duration
+	ends    dueEnds
+	// ended holds the runs that have ended, by the numbers of their ends.
+	ended    map[endKey]dueEnd
 	numbers  map[string]uint64
 	revision store.Revision
 	jobs     int
@@ -79,6 +87,7 @@
 	p.SetOperator(operatorconfig.Snapshot{Config: config, Revision: 1})
 	s := &simulatedRegion{
 		planner: p, random: rand.New(rand.NewPCG(1, 2)), workers: workers, now: time.Second, numbers: map[string]uint64{},
+		ended: map[endKey]dueEnd{},
 	}
 	for i := range workers {
 		p.Report(&wire.AgentReport{
@@ -109,6 +118,14 @@
 func (s *simulatedRegion) step(startsPerSecond float64) {
 	s.now += regionStep
 	s.planner.Advance(s.now)
+	s.handInDue(startsPerSecond)
+	s.endRuns()
+	s.reportProgress()
+	s.commit()
+}
+
+// handInDue hands in the jobs of one regionStep.
+func (s *simulatedRegion) handInDue(startsPerSecond float64) {
 	share := startsPerSecond * regionStep.Seconds() / 2
 	for s.owedChecks += share; s.owedChecks > 0; s.owedChecks -= checkTasks {
 		check := job.Step{
@@ -124,9 +141,6 @@
 			Image: fmt.Sprintf("filling-%d", s.random.IntN(fillingImages)),
 		})
 	}
-	s.endRuns()
-	s.reportProgress()
-	s.commit()
 }
 
 // endRuns reports the runs whose time has come.
@@ -134,6 +148,7 @@
 	for len(s.ends) > 0 && s.ends[0].at <= s.now {
 		end := heap.Pop(&s.ends).(dueEnd)
 		s.numbers[end.life.Agent]++
+		s.ended[endKey{end.life.Agent, s.numbers[end.life.Agent]}] = end
 		s.planner.Ended(end.life.Agent, &wire.RunEnded{WorkerID: end.life.ID, Born: end.life.Born, Ends: []wire.EndRow{{
 			Number: s.numbers[end.life.Agent], Task: end.task, Run: end.run, Outcome: uint8(job.OutcomeDone),
 		}}})
@@ -166,7 +181,7 @@
 // commit writes what the planner decided and carries out its orders.
 func (s *simulatedRegion) commit() {
 	for {
-		c := s.planner.NextCommit(recordsPerWrite, s.now.Milliseconds())
+		c := s.planner.NextCommit(entriesPerWrite, s.now.Milliseconds(), false)
 		if c.Empty() {
 			break
 		}
@@ -176,27 +191,28 @@
 	s.planner.TakeEvents()
 	s.planner.TakeTimings()
 	for _, order := range s.planner.TakeOrders() {
-		start, ok := order.Message.(*wire.StartRun)
-		if !ok {
-			continue
-		}
-		s.starts++
-		if start.LatencyTargetMillis > 0 {
-			continue
+		if start, ok := order.Message.(*wire.StartRun); ok {
+			s.startRun(order.Agent, start)
 		}
-		took := checkTime
-		if start.Filler {
-			took = fillTime
-		}
-		s.ends = append(s.ends, dueEnd{})
-		s.ends = s.ends[:len(s.ends)-1]
-		heap.Push(&s.ends, dueEnd{
-			at: s.now + took*time.Duration(70+s.random.IntN(60))/100, task: start.Task, run: start.Run,
-			life: job.WorkerLife{Agent: order.Agent, ID: start.WorkerID, Born: start.Born},
-		})
 	}
 }
 
+// startRun starts a run on a worker; runs with a latency target last.
+func (s *simulatedRegion) startRun(agentName string, start *wire.StartRun) {
+	s.starts++
+	if start.LatencyTargetMillis > 0 {
+		return
+	}
+	took := checkTime
+	if start.Filler {
+		took = fillTime
+	}
+	heap.Push(&s.ends, dueEnd{
+		at: s.now + took*time.Duration(70+s.random.IntN(60))/100, task: start.Task, run: start.Run,
+		life: job.WorkerLife{Agent: agentName, ID: start.WorkerID, Born: start.Born},
+	})
+}
+
 // BenchmarkPlanner measures what a start costs the planner, with its reports, records and end, at several
 // numbers of workers. One operation is one start.
 func BenchmarkPlanner(b *testing.B) {
@@ -230,7 +246,7 @@
 			b.ResetTimer()
 			for b.Loop() {
 				s.planner.changes.touchAll()
-				s.planner.NextCommit(recordsPerWrite, 0)
+				s.planner.NextCommit(entriesPerWrite, 0, false)
 			}
 			b.ReportMetric(float64(s.planner.waitingSteps()), "waiting-steps")
 		})
