--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -47,10 +47,12 @@
 	view := operatorconfig.NewView(source, p.settings.Zones, p.logger)
 	dialer := link.NewDialer(nil)
 	detour := relay.New(relay.Config{
-		Name: p.settings.Name, Address: p.settings.LinkAddress, Store: client, Dialer: dialer, Logger: p.logger,
+		Name: p.settings.Name, Address: p.settings.LinkAddress, Strength: p.settings.Processors,
+		Store: client, Dialer: dialer, Logger: p.logger,
 	})
 	elected := coordinator.New(coordinator.Config{
-		Name: p.settings.Name, Address: p.settings.LinkAddress, Store: detour, Dialer: dialer, View: view,
+		Name: p.settings.Name, Address: p.settings.LinkAddress, Strength: p.settings.Processors, Peers: detour,
+		Store: detour, Dialer: dialer, View: view,
 		Timing: planner.Timing{
 			Authority: runAuthority, Margin: runAuthorityMargin, StatusPeriod: p.settings.StatusPeriod + statusMargin,
 		},
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,16 +17,29 @@
 var (
 	// ErrNotCoordinator reports a question that only the coordinator answers.
 	ErrNotCoordinator = errors.New("coordinator: this entry is not the coordinator")
+	// errYielded ends a term in favour of a stronger entry.
+	errYielded = errors.New("coordinator: a stronger entry takes over")
 	// errTermLost ends a term that another entry may take over.
 	errTermLost = errors.New("coordinator: term lost")
 )
 
+// Peers tells of the other entries.
+type Peers interface {
+	// Strongest returns the highest strength among the other entries that are known.
+	Strongest() float64
+	// StrongerServes reports whether an entry that is stronger answers and has a path to the store.
+	StrongerServes(ctx context.Context, than float64) bool
+}
+
 // Config holds what a Coordinator depends on.
 type Config struct {
 	// Name is this entry's name and Address the address of its links.
 	Name    string
 	Address string
-	Store   store.Service
+	// Strength is this entry's share of a processor.
+	Strength float64
+	Peers    Peers
+	Store    store.Service
 	Dialer  link.Dialer
 	View    *operatorconfig.View
 	Timing  planner.Timing
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -27,6 +27,8 @@
 	known   bool
 	changed chan struct{}
 	term    *term
+	// yieldedAt is when this entry last handed over to a stronger one, or zero.
+	yieldedAt time.Duration
 }
 
 // New returns a coordinator that takes part in no election yet.
@@ -98,7 +100,7 @@
 			}
 			continue
 		}
-		wait.Sleep(ctx, rand.N(electionJitter))
+		wait.Sleep(ctx, rand.N(electionJitter)+standDelay(c.config.Strength, c.config.Peers.Strongest()))
 		if free, _ := c.vacant(); !free {
 			continue
 		}
@@ -129,9 +131,13 @@
 		return err
 	}
 	t := newTerm(c.config, uint64(revision), lease, sent+leaseTTL-leaseSafety)
+	t.mayYield = c.yieldedAt == 0 || c.config.Now()-c.yieldedAt > yieldPause
 	c.enter(t, record)
 	err = t.run(ctx)
 	c.leave()
+	if errors.Is(err, errYielded) {
+		c.yieldedAt = c.config.Now()
+	}
 	c.config.Logger.Warn("term ended", "term", revision, "error", err)
 	c.release(lease)
 	return nil
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -30,6 +30,8 @@
 	planner *planner.Planner
 	loaded  map[string]store.KeyValue
 	applied operatorconfig.Snapshot
+	// mayYield is set if the term may end in favour of a stronger entry.
+	mayYield bool
 	// commits is the number of commits in flight.
 	commits int
 	// retry fires when the next commit may follow a failed one; it is nil if none has failed.
@@ -60,6 +62,9 @@
 	t.config.Logger.Info("elected coordinator")
 	t.planner = planner.New(t.config.Timing, t.config.Now())
 	t.group.Go(func() { t.renew(ctx, cancel) })
+	if t.mayYield {
+		t.group.Go(func() { t.yield(ctx, cancel) })
+	}
 	if err := t.load(ctx); err != nil {
 		return err
 	}
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -17,17 +17,19 @@
 // record is the stored address of an entry's links.
 type record struct {
 	Address string `cbor:"1,keyasint"`
+	// Strength is the entry's share of a processor; it is zero in records of earlier versions.
+	Strength float64 `cbor:"2,keyasint,omitempty"`
 }
 
-// directory holds the addresses of the other entries. It is safe for concurrent use.
+// directory holds the records of the other entries. It is safe for concurrent use.
 type directory struct {
 	own string
 
-	mu        sync.Mutex
-	addresses map[string]string
+	mu      sync.Mutex
+	records map[string]record
 }
 
-func newDirectory(own string) *directory { return &directory{own: own, addresses: map[string]string{}} }
+func newDirectory(own string) *directory { return &directory{own: own, records: map[string]record{}} }
 
 // apply takes in changes of the records.
 func (d *directory) apply(events []store.Event) {
@@ -36,12 +38,12 @@
 	for _, event := range events {
 		name := strings.TrimPrefix(event.Key, recordPrefix)
 		if event.Deleted {
-			delete(d.addresses, name)
+			delete(d.records, name)
 			continue
 		}
 		known, err := wire.Unmarshal[record](event.Value)
 		if err == nil {
-			d.addresses[name] = known.Address
+			d.records[name] = *known
 		}
 	}
 }
@@ -50,10 +52,35 @@
 func (d *directory) others() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.selectLocked(func(record) bool { return true })
+}
+
+// strongerThan returns the addresses of the other entries that are stronger, in a fixed order.
+func (d *directory) strongerThan(strength float64) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.selectLocked(func(known record) bool { return known.Strength > strength })
+}
+
+// strongest returns the highest strength among the other entries.
+func (d *directory) strongest() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	highest := 0.0
+	for _, known := range d.records {
+		if known.Address != d.own {
+			highest = max(highest, known.Strength)
+		}
+	}
+	return highest
+}
+
+// selectLocked returns the addresses of the other entries that match, in a fixed order.
+func (d *directory) selectLocked(match func(record) bool) []string {
 	var addresses []string
-	for _, address := range d.addresses {
-		if address != d.own {
-			addresses = append(addresses, address)
+	for _, known := range d.records {
+		if known.Address != d.own && match(known) {
+			addresses = append(addresses, known.Address)
 		}
 	}
 	slices.Sort(addresses)
@@ -63,7 +90,7 @@
 // register keeps this entry's record in the store until the context ends. The record lives under a lease,
 // so that an entry that is gone is forgotten.
 func (r *Relay) register(ctx context.Context) {
-	value, err := wire.Marshal(&record{Address: r.config.Address})
+	value, err := wire.Marshal(&record{Address: r.config.Address, Strength: r.config.Strength})
 	if err != nil {
 		r.config.Logger.Error("entry record not encoded", "error", err)
 		return
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -143,7 +144,7 @@
 	if time.Now().Before(r.restUntil) {
 		return nil
 	}
-	addresses := r.directory.others()
+	addresses := sample(r.directory.others())
 	if r.peer == nil || !r.peer.open() {
 		return addresses
 	}
@@ -156,6 +157,14 @@
 	return ordered
 }
 
+// sample returns at most maxCandidates of the addresses at random. While the store is away for all, every
+// entry looks for another one with a path; asking all of them would cost links that grow with the square of
+// their number.
+func sample(addresses []string) []string {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), maxCandidates)]
+}
+
 // peerAt returns a link to the entry at the address.
 func (r *Relay) peerAt(ctx context.Context, address string) (*peer, error) {
 	r.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,9 @@
 	// Name is this entry's name and Address the address of its links.
 	Name    string
 	Address string
-	Store   store.Service
+	// Strength is this entry's share of a processor; the others learn it from its record.
+	Strength float64
+	Store    store.Service
 	Dialer  link.Dialer
 	Logger  *log.Logger
 }
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -11,6 +11,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// restTime is how long no entry is asked after none of them could reach the store.
 	restTime = time.Second
+	// maxCandidates bounds the entries that are asked for one call.
+	maxCandidates = 3
 	// idleTime is after how long without calls a link is closed.
 	idleTime = 30 * time.Second
 	// pingInterval keeps a link from falling silent.
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -17,6 +17,9 @@
 // ErrStopped reports a flush of a queue whose Run has ended.
 var ErrStopped = errors.New("telemetry: log queue is stopped")
 
+// maxBatchBytes bounds the lines that are written together.
+const maxBatchBytes = 16 << 10
+
 // maxPooledLine is the largest buffer kept for reuse, so that one long line does not pin memory.
 const maxPooledLine = 16 << 10
 
@@ -114,13 +117,29 @@
 // cannot keep it from returning.
 func (q *Queue) drain() {
 	for range len(q.lines) {
-		q.write(<-q.lines)
+		select {
+		case buffer := <-q.lines:
+			q.write(buffer)
+		default:
+			// The write before took the rest along.
+		}
 	}
 	q.reportDropped()
 }
 
+// write writes a line together with those that wait behind it, since each write costs a system call.
 func (q *Queue) write(buffer *bytes.Buffer) {
 	q.reportDropped()
+	for buffer.Len() < maxBatchBytes {
+		select {
+		case next := <-q.lines:
+			buffer.Write(next.Bytes())
+			q.release(next)
+			continue
+		default:
+		}
+		break
+	}
 	if _, err := q.output.Write(buffer.Bytes()); err != nil {
 		writeErrors.Inc()
 	}
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -36,6 +36,12 @@
 	reportInterval = 1500 * time.Millisecond
 )
 
+// Shares of a processor of the entries.
+const (
+	strongShare = 0.8
+	weakShare   = 0.2
+)
+
 var zones = []string{"north", "south"}
 
 // source reads a configuration of one queue from a value like "3" (the version).
@@ -183,10 +189,10 @@
 	view := operatorconfig.NewView(source{}, zones, r.logger)
 	dialer := r.network.dialer(e.name)
 	e.relay = relay.New(relay.Config{
-		Name: e.name, Address: e.name, Store: e.faulty, Dialer: dialer, Logger: r.logger.With("entry", e.name),
+		Name: e.name, Address: e.name, Strength: e.strength(), Store: e.faulty, Dialer: dialer, Logger: r.logger.With("entry", e.name),
 	})
 	e.local = coordinator.New(coordinator.Config{
-		Name: e.name, Address: e.name, Store: e.relay, Dialer: dialer, View: view, Now: r.now,
+		Name: e.name, Address: e.name, Strength: e.strength(), Peers: e.relay, Store: e.relay, Dialer: dialer, View: view, Now: r.now,
 		Logger: r.logger.With("entry", e.name),
 		Timing: planner.Timing{Authority: authority, Margin: authoritySlack, StatusPeriod: time.Hour},
 	})
@@ -209,6 +215,14 @@
 	}()
 }
 
+// strength returns the entry's share of a processor: entry-0 is the strongest.
+func (e *entryProcess) strength() float64 {
+	if e.name == "entry-0" {
+		return strongShare
+	}
+	return weakShare
+}
+
 // kill ends the entry without a word: it can't hand over what it held.
 func (e *entryProcess) kill() {
 	if e.cancel == nil {
