--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -40,9 +40,9 @@
 	Strength float64
 	Peers    Peers
 	Store    store.Service
-	Dialer  link.Dialer
-	View    *operatorconfig.View
-	Timing  planner.Timing
+	Dialer   link.Dialer
+	View     *operatorconfig.View
+	Timing   planner.Timing
 	// Now reads a clock that counts suspended time.
 	Now    func() time.Duration
 	Logger *log.Logger
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,8 +21,8 @@
 	// Strength is this entry's share of a processor; the others learn it from its record.
 	Strength float64
 	Store    store.Service
-	Dialer  link.Dialer
-	Logger  *log.Logger
+	Dialer   link.Dialer
+	Logger   *log.Logger
 }
 
 // Relay is a store whose calls go through another entry while this entry's own path is cut. Calls that
