Let running work outlast a cut of 5.5 s between its agent and the coordinator

Cause: an agent's authority was 5 s from the last acknowledged ping (and no longer than the worker's longest lease, though the two are not the same: the agent renews the lease). Ruled out: the lease of the worker, which the agent beside it goes on renewing. Change: authority 7.5 s, which covers the cut, the silence bound of 3 s and the dials after it; the lease is extended by up to 6 s, so that it outlasts a killed agent of 3.5 s and the link after that.

--- a/cmd/clementined/platform.go
+++ b/cmd/clementined/platform.go
@@ -26,12 +26,13 @@
 	settingsInterval = 5 * time.Second
 	// memoryShare is the part of a process's memory limit above which collections become frequent.
 	memoryShare = 0.7
-	// runAuthority is how long an acknowledged ping lets an agent extend its worker's lease.
-	runAuthority = 5 * time.Second
+	// runAuthority is how long an acknowledged ping lets an agent extend its worker's lease. It outlasts a cut
+	// of 5.5 s and the links that are opened again after it, so that what runs behind the cut runs on.
+	runAuthority = 7500 * time.Millisecond
 	// runAuthorityMargin is what the coordinator waits beyond it.
 	runAuthorityMargin = 300 * time.Millisecond
-	// runLeaseTerm is the longest extension of a worker's lease at a time.
-	runLeaseTerm = 4 * time.Second
+	// runLeaseTerm is the longest extension of a worker's lease at a time. It outlasts a restart of the agent.
+	runLeaseTerm = 6 * time.Second
 )
 
 // platformProcess holds what both roles on the platform build from the platform's settings.
--- a/cmd/clementined/platform_agent.go
+++ b/cmd/clementined/platform_agent.go
@@ -34,10 +34,9 @@
 	name, address := p.settings.Name, p.settings.LinkAddress
 	worker := platform.NewWorker(p.settings.Worker)
 	client := platform.NewStore(p.settings.Store)
-	authority := min(runAuthority, p.settings.MaxRunLease)
 	agent := runner.New(runner.Config{
 		Name: name, Worker: worker,
-		LeaseTerm: min(runLeaseTerm, authority), Authority: authority,
+		LeaseTerm: min(runLeaseTerm, p.settings.MaxRunLease), Authority: runAuthority,
 		Now: bootclock.Now, Logger: p.logger,
 	})
 	var group conc.WaitGroup
