Contain panics; send no start after the term

And a coordinator that was paused with decided orders in hand sent them when it went on: pings that had waited in the socket made them look fresh to the agent. Start orders are dropped once the term is not certainly valid; the next coordinator repeats them. The end of a link is noted also when its reader panics.

--- a/cmd/clementined/platform_agent.go
+++ b/cmd/clementined/platform_agent.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/bootclock"
+	"clementineflow/internal/contain"
 	"clementineflow/internal/coordinator"
 	"clementineflow/internal/link"
 	"clementineflow/internal/runner"
@@ -41,13 +42,15 @@
 	})
 	var group conc.WaitGroup
 	p.serveMetrics(ctx, &group)
-	links := link.NewServer(func(conn link.Conn) { agent.Serve(ctx, conn) })
+	links := link.NewServer(func(conn link.Conn) {
+		contain.Call(p.logger, "link of a coordinator", func() { agent.Serve(ctx, conn) })
+	})
 	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
 	group.Go(func() { _ = links.Serve(listener, nil) })
-	reports := platform.Server(platform.NewReports(agent, p.settings.Service, p.logger).Handle)
+	reports := platform.Server(platform.NewReports(agent, p.settings.Service, p.logger).Handle, p.logger)
 	if err := p.serveHTTP(&group, reports, p.settings.StatusReports, fail); err != nil {
 		return err
 	}
--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/bootclock"
+	"clementineflow/internal/contain"
 	"clementineflow/internal/coordinator"
 	"clementineflow/internal/gateway"
 	"clementineflow/internal/link"
@@ -70,20 +71,22 @@
 	// The operator's keys are followed until the last answer is out.
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
-	group.Go(func() { mirror.Run(serving) })
+	group.Go(func() { contain.Duty(serving, p.logger, "follow operator", mirror.Run) })
 	group.Go(func() { p.followSettings(serving, func(s *platform.Settings) { client.Move(s.Store) }) })
 	group.Go(func() { elected.Run(ctx) })
 	group.Go(func() { detour.Run(serving) })
-	group.Go(func() { peer.Run(serving) })
+	group.Go(func() { contain.Duty(serving, p.logger, "link to the coordinator", peer.Run) })
 	p.serveMetrics(serving, &group)
 
-	links := link.NewServer(func(conn link.Conn) { peer.Serve(serving, conn) })
+	links := link.NewServer(func(conn link.Conn) {
+		contain.Call(p.logger, "link of another entry", func() { peer.Serve(serving, conn) })
+	})
 	listener, err := listen(p.settings.LinkAddress)
 	if err != nil {
 		return err
 	}
 	group.Go(func() { _ = links.Serve(listener, nil) })
-	readiness, clients := platform.Server(front.HandleReady), platform.Server(front.Handle)
+	readiness, clients := platform.Server(front.HandleReady, p.logger), platform.Server(front.Handle, p.logger)
 	if err := p.serveHTTP(&group, readiness, p.settings.Readiness, fail); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/contain/contain_test.go
@@ -0,0 +1,40 @@
+package contain
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+)
+
+// TestDutyGoesOnAfterAPanic guards against a duty that ends with an unexpected error while its process lives
+// on without it, and against a panic of which the log says nothing.
+func TestDutyGoesOnAfterAPanic(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	calls := 0
+	Duty(t.Context(), log.New(&output), "test duty", func(context.Context) {
+		calls++
+		if calls < 3 {
+			panic("unexpected")
+		}
+	})
+	is.Equal(calls, 3)
+	is.Equal(strings.Count(output.String(), "panic contained"), 2)
+}
+
+// TestDutyEndsWithItsContext guards against a duty that is restarted for ever while the process stops.
+func TestDutyEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	calls := 0
+	Duty(ctx, log.New(&bytes.Buffer{}), "test duty", func(context.Context) {
+		calls++
+		cancel()
+		panic("unexpected")
+	})
+	is.Equal(calls, 1)
+}
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -17,6 +17,8 @@
 var (
 	// ErrNotCoordinator reports a question that only the coordinator answers.
 	ErrNotCoordinator = errors.New("coordinator: this entry is not the coordinator")
+	// errPanicked ends a term whose decisions failed with a panic.
+	errPanicked = errors.New("coordinator: panic in the decisions")
 	// errYielded ends a term in favour of a stronger entry.
 	errYielded = errors.New("coordinator: a stronger entry takes over")
 	// errTermLost ends a term that another entry may take over.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/job"
 	"clementineflow/internal/store"
 	"clementineflow/internal/wait"
@@ -42,8 +43,8 @@
 	mirror := store.NewMirror(store.MirrorConfig{
 		Feed: c.config.Store, Prefix: leaderKey, Wait: watchWait, Handle: c.observe, Logger: c.config.Logger,
 	})
-	group.Go(func() { mirror.Run(ctx) })
-	group.Go(func() { c.campaign(ctx) })
+	group.Go(func() { contain.Duty(ctx, c.config.Logger, "follow leader", mirror.Run) })
+	group.Go(func() { contain.Duty(ctx, c.config.Logger, "campaign", c.campaign) })
 	group.Wait()
 }
 
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
 	"clementineflow/internal/planner"
 	"clementineflow/internal/store"
@@ -22,6 +23,8 @@
 	conn atomic.Pointer[link.Conn]
 	// lastPing is the number of the agent's latest ping.
 	lastPing atomic.Uint64
+	// lastReply is when a ping was last acknowledged on the link; only the session's own goroutine uses it.
+	lastReply time.Duration
 	// reachedAt is when the agent was last reached, in nanoseconds of the clock.
 	reachedAt atomic.Int64
 }
@@ -52,7 +55,7 @@
 	s := &session{term: t, name: name, address: record.Address, cancel: cancel}
 	s.reachedAt.Store(int64(t.config.Now()))
 	t.sessions[name] = s
-	t.group.Go(func() { s.run(ctx) })
+	t.group.Go(func() { contain.Duty(ctx, t.config.Logger, "link to agent "+name, s.run) })
 }
 
 // send sends an order on the link to its agent. Without a link the order is dropped: the agent's report
@@ -67,6 +70,12 @@
 		return
 	}
 	if start, ok := order.Message.(*wire.StartRun); ok {
+		if !t.valid() {
+			// The process may have been paused since the order was decided. Another coordinator may have decided
+			// otherwise meanwhile, and pings that waited would make the order look fresh.
+			t.config.Logger.Warn("start order dropped: the term is no longer certain", "task", start.Task, "run", start.Run, "agent", s.name)
+			return
+		}
 		start.LastPing = s.lastPing.Load()
 	}
 	if err := (*open).Send(order.Message); err != nil {
@@ -107,24 +116,27 @@
 	}
 	s.lastPing.Store(0)
 	s.conn.Store(&conn)
-	lastReply, accepted := s.receive(ctx, conn)
-	s.conn.Store(nil)
-	s.reachedAt.Store(int64(s.term.config.Now()))
-	s.term.post(ctx, event{agent: &agentEvent{name: s.name, down: true, lastReply: lastReply}})
-	return accepted
+	s.lastReply = 0
+	// The end of the link is noted in any case, or the worker would count as reachable for ever.
+	defer func() {
+		s.conn.Store(nil)
+		s.reachedAt.Store(int64(s.term.config.Now()))
+		s.term.post(ctx, event{agent: &agentEvent{name: s.name, down: true, lastReply: s.lastReply}})
+	}()
+	return s.receive(ctx, conn)
 }
 
 // fenceShift leaves room for a million links in one term.
 const fenceShift = 20
 
-// receive hands on the agent's messages until the link ends. It returns when a ping was last
-// acknowledged, and whether there was any message: an agent refuses the link of an older term by ending it.
-func (s *session) receive(ctx context.Context, conn link.Conn) (lastReply time.Duration, accepted bool) {
+// receive hands on the agent's messages until the link ends. It reports whether there was any message: an
+// agent refuses the link of an older term by ending it.
+func (s *session) receive(ctx context.Context, conn link.Conn) (accepted bool) {
 	for {
 		message, err := conn.Receive()
 		if err != nil {
 			s.term.config.Logger.Warn("link to agent ended", "agent", s.name, "accepted", accepted, "error", err)
-			return lastReply, accepted
+			return accepted
 		}
 		accepted = true
 		ping, ok := message.(*wire.AgentPing)
@@ -136,9 +148,9 @@
 		if !s.term.valid() {
 			continue
 		}
-		lastReply = s.term.config.Now()
+		s.lastReply = s.term.config.Now()
 		if err := conn.Send(&wire.PingReply{Sequence: ping.Sequence}); err != nil {
-			return lastReply, accepted
+			return accepted
 		}
 	}
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/planner"
@@ -61,9 +62,13 @@
 	defer cancel(context.Canceled)
 	t.config.Logger.Info("elected coordinator")
 	t.planner = planner.New(t.config.Timing, t.config.Now())
-	t.group.Go(func() { t.renew(ctx, cancel) })
+	t.group.Go(func() {
+		contain.Duty(ctx, t.config.Logger, "renewal", func(ctx context.Context) { t.renew(ctx, cancel) })
+	})
 	if t.mayYield {
-		t.group.Go(func() { t.yield(ctx, cancel) })
+		t.group.Go(func() {
+			contain.Duty(ctx, t.config.Logger, "hand-over", func(ctx context.Context) { t.yield(ctx, cancel) })
+		})
 	}
 	if err := t.load(ctx); err != nil {
 		return err
@@ -72,8 +77,11 @@
 		Feed: t.config.Store, Prefix: InputPrefix, Wait: watchWait, Logger: t.config.Logger,
 		Handle: func(events []store.Event, _ time.Time) { t.post(ctx, event{input: events}) },
 	})
-	t.group.Go(func() { mirror.Run(ctx) })
-	t.loop(ctx)
+	t.group.Go(func() { contain.Duty(ctx, t.config.Logger, "follow input", mirror.Run) })
+	if !contain.Call(t.config.Logger, "decisions", func() { t.loop(ctx) }) {
+		// What the planner holds may be wrong; the next term reads it anew from the store.
+		cancel(errPanicked)
+	}
 	return context.Cause(ctx)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
 	"clementineflow/internal/store"
 	"clementineflow/internal/wire"
@@ -57,12 +58,12 @@
 // Run keeps this entry's record and follows those of the others until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	var group conc.WaitGroup
-	group.Go(func() { r.register(ctx) })
+	group.Go(func() { contain.Duty(ctx, r.config.Logger, "register", r.register) })
 	mirror := store.NewMirror(store.MirrorConfig{
 		Feed: r.config.Store, Prefix: recordPrefix, Wait: directoryWait, Logger: r.config.Logger,
 		Handle: func(events []store.Event, _ time.Time) { r.directory.apply(events) },
 	})
-	group.Go(func() { mirror.Run(ctx) })
+	group.Go(func() { contain.Duty(ctx, r.config.Logger, "follow entries", mirror.Run) })
 	group.Wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
 	"clementineflow/internal/store"
 	"clementineflow/internal/wire"
@@ -25,7 +26,8 @@
 		defer func() { <-r.slots }()
 		ctx, cancel := context.WithTimeout(ctx, min(time.Duration(call.BudgetMillis)*time.Millisecond, maxBudget))
 		defer cancel()
-		reply := r.make(ctx, call)
+		reply := &wire.StoreReply{Outcome: wire.StoreUnknown}
+		contain.Call(r.config.Logger, "store call of another entry", func() { reply = r.make(ctx, call) })
 		reply.Sequence = call.Sequence
 		r.send(conn, reply)
 	}()
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
 	"clementineflow/internal/wire"
 )
@@ -104,7 +105,7 @@
 // Run looks after the worker until the context ends, then extends its lease once more, so that its runs
 // outlive a restart of the agent.
 func (a *Agent) Run(ctx context.Context) {
-	a.group.Go(func() { a.look(ctx) })
+	a.group.Go(func() { contain.Duty(ctx, a.config.Logger, "look", a.look) })
 	<-ctx.Done()
 	a.mu.Lock()
 	conn := a.conn
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/wait"
 )
 
@@ -87,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	m.config.Handle(events, sent)
+	contain.Call(m.config.Logger, "changes of "+m.config.Prefix, func() { m.config.Handle(events, sent) })
 	return nil
 }
 
