Use a new authority at once near the end of a lease; hand over to a stronger entry at any time of a term

Found by running the new tests repeatedly: TestWorkOutlastsAShortCut failed in about half of the runs, and TestStrongerEntryTakesOver in most. Cause of the first (trace): the link was back 1 s before the lease ended, and the authority with it, but the agent's look at its worker was waiting for an end for up to a second, so the lease was extended too late. Now a look waits for at most a quarter of what is left of the lease. Cause of the second: whether a term may be handed over was decided once at its start; an entry that had handed over 30 s or less before kept the lead for good.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -28,8 +28,8 @@
 	known   bool
 	changed chan struct{}
 	term    *term
-	// yieldedAt is when this entry last handed over to a stronger one, or zero.
-	yieldedAt time.Duration
+	// yieldFrom is from when on this entry may hand over to a stronger one again.
+	yieldFrom time.Duration
 }
 
 // New returns a coordinator that takes part in no election yet.
@@ -132,12 +132,12 @@
 		return err
 	}
 	t := newTerm(c.config, uint64(revision), lease, sent+leaseTTL-leaseSafety)
-	t.mayYield = c.yieldedAt == 0 || c.config.Now()-c.yieldedAt > yieldPause
+	t.yieldFrom = c.yieldFrom
 	c.enter(t, record)
 	err = t.run(ctx)
 	c.leave()
 	if errors.Is(err, errYielded) {
-		c.yieldedAt = c.config.Now()
+		c.yieldFrom = c.config.Now() + yieldPause
 	}
 	c.config.Logger.Warn("term ended", "term", revision, "error", err)
 	c.release(lease)
--- a/internal/coordinator/strength.go
+++ b/internal/coordinator/strength.go
@@ -17,7 +17,7 @@
 	// yieldInterval is the time between two looks for a stronger entry, and yieldPause that between two
 	// hand-overs of one entry, in case the stronger one does not take over.
 	yieldInterval = time.Second
-	yieldPause    = 30 * time.Second
+	yieldPause    = 10 * time.Second
 	// probeTimeout bounds the look at a stronger entry.
 	probeTimeout = time.Second
 )
@@ -36,7 +36,7 @@
 func (t *term) yield(ctx context.Context, end context.CancelCauseFunc) {
 	for wait.Sleep(ctx, yieldInterval) {
 		threshold := clearlyStronger * t.config.Strength
-		if t.config.Peers.Strongest() < threshold {
+		if t.config.Now() < t.yieldFrom || t.config.Peers.Strongest() < threshold {
 			continue
 		}
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -31,8 +31,8 @@
 	planner *planner.Planner
 	loaded  map[string]store.KeyValue
 	applied operatorconfig.Snapshot
-	// mayYield is set if the term may end in favour of a stronger entry.
-	mayYield bool
+	// yieldFrom is from when on the term may end in favour of a stronger entry.
+	yieldFrom time.Duration
 	// commits is the number of commits in flight.
 	commits int
 	// retry fires when the next commit may follow a failed one; it is nil if none has failed.
@@ -65,11 +65,9 @@
 	t.group.Go(func() {
 		contain.Duty(ctx, t.config.Logger, "renewal", func(ctx context.Context) { t.renew(ctx, cancel) })
 	})
-	if t.mayYield {
-		t.group.Go(func() {
-			contain.Duty(ctx, t.config.Logger, "hand-over", func(ctx context.Context) { t.yield(ctx, cancel) })
-		})
-	}
+	t.group.Go(func() {
+		contain.Duty(ctx, t.config.Logger, "hand-over", func(ctx context.Context) { t.yield(ctx, cancel) })
+	})
 	if err := t.load(ctx); err != nil {
 		return err
 	}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -5,6 +5,9 @@
 // slowestClockRate is how much the worker's clock advances at least in one second.
 const slowestClockRate = 0.98
 
+// looksPerLease is the least number of looks within what is left of a lease.
+const looksPerLease = 4
+
 // runLease works out how far the worker's lease may be extended. All times but the worker's clock are of
 // the agent's clock, which counts suspended time.
 type runLease struct {
@@ -40,5 +43,11 @@
 	return due.Truncate(time.Millisecond), true
 }
 
+// lookWait returns how long a look may wait for an end. Near the end of the lease a new authority must not
+// wait behind a look: the lease would end in the meantime.
+func (l *runLease) lookWait(now time.Duration) time.Duration {
+	return max((l.limit-now)/looksPerLease, retryDelay)
+}
+
 // forgetClock drops the reading of a former life of the worker.
 func (l *runLease) forgetClock() { l.clock, l.readAt = 0, 0 }
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -65,6 +65,7 @@
 	}
 	if now-a.answeredAt < silenceBound {
 		request.Due, _ = a.lease.extend(now, a.lease.term)
+		request.Wait = min(request.Wait, a.lease.lookWait(now))
 	} else {
 		// A silent worker is only looked at: once its lease has ended, its runs can go on elsewhere.
 		request.Wait = 0
