Measure pressures by parts of a worker instead of cores

Cause: on the workers of 64 cores (further) fillers of an unknown image waited beside free processors: 0.05 a core is 0.35 for a task of 7 cores, more than any run with a latency target leaves. Change: work is counted in sixteenths of the worker's processors, in the planner and in the agent; nothing changes on workers of 16 cores. Test: TestLargeWorkerTakesLargeFillers.

--- a/internal/interference/filter_test.go
+++ b/internal/interference/filter_test.go
@@ -21,7 +21,7 @@
 		load := 0.45 + 0.2*math.Sin(2*math.Pi*elapsed.Seconds()/14)
 		cores := 4 * float64(sample/5%2) // it comes and goes
 		model.Advance(driftPeriod)
-		model.Observe("run", "serving", latencyShare(load+0.02*cores), []Neighbour{{Image: "known", Cores: cores}})
+		model.Observe("run", "serving", latencyShare(load+0.02*cores), []Neighbour{{Image: "known", Parts: cores}})
 		if sample > 10 && load > 0.5 {
 			worst = max(worst, load-model.Load("run"))
 		}
@@ -37,7 +37,7 @@
 	model := NewPressure()
 	for range 20 {
 		model.Advance(driftPeriod)
-		model.Observe("run", "serving", latencyShare(0.7), []Neighbour{{Image: "still", Cores: 0}})
+		model.Observe("run", "serving", latencyShare(0.7), []Neighbour{{Image: "still", Parts: 0}})
 	}
 	is.Equal(model.Estimate(Pair{"serving", "still"}), PressureEstimate{})
 	is.Equal(model.Pair("serving", "still"), priorPressure)
--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -7,13 +7,13 @@
 
 // A run that serves requests behaves like a queue: its tail latency is its rest latency divided by the
 // part of a shared resource that is left. Pressure learns how much of that resource a run takes itself
-// and how much each neighbour takes, by image, for each core at work.
+// and how much each neighbour takes, by image, for each part of the worker's processors at work.
 const (
-	// priorPressure is the expected pressure of one core of an image that was not seen yet, and
+	// priorPressure is the expected pressure of one part of an image that was not seen yet, and
 	// priorDeviation how far off that may be.
 	priorPressure  = 0.05
 	priorDeviation = 0.08
-	// maxPressure bounds the pressure of one core.
+	// maxPressure bounds the pressure of one part.
 	maxPressure = 0.6
 	// RestLoad is the expected own load of a run that was not seen yet, and loadDeviation how far off that
 	// may be.
@@ -31,21 +31,21 @@
 	minUsageNoise = 0.02
 	// maxUsage is the usage that the highest latencies stand for; beyond it a queue grows without bound.
 	maxUsage = 0.97
-	// minCores is the work below which a neighbour tells nothing.
-	minCores = 0.02
+	// minParts is the work below which a neighbour tells nothing.
+	minParts = 0.02
 	// restShare is the rest latency as a share of the target, where no lower one was seen.
 	restShare = 0.2
 	// restFactor turns the lowest latency seen into a rest latency: also at its quietest a run has load.
 	restFactor = 0.75
 )
 
-// Neighbour is a run that may press others: its image and the cores at work.
+// Neighbour is a run that may press others: its image and the parts of the worker at work.
 type Neighbour struct {
 	Image string
-	Cores float64
+	Parts float64
 }
 
-// PressureEstimate is what was measured of the pressure of one core.
+// PressureEstimate is what was measured of the pressure of one part.
 type PressureEstimate struct {
 	// Value is the measured pressure, without what was expected before.
 	Value float64
@@ -123,18 +123,18 @@
 
 // terms returns the parts of the usage that a run sees, and makes them known.
 func (m *Pressure) terms(run, image string, neighbours []Neighbour) []term {
-	cores := map[string]float64{}
+	parts := map[string]float64{}
 	for _, neighbour := range neighbours {
-		cores[neighbour.Image] += neighbour.Cores
+		parts[neighbour.Image] += neighbour.Parts
 	}
 	if !m.filter.has(loadOf(run)) {
 		m.filter.add(loadOf(run), RestLoad, loadDeviation)
 	}
 	terms := []term{{loadOf(run), 1}}
 	for _, neighbour := range neighbours {
-		weight := cores[neighbour.Image]
-		delete(cores, neighbour.Image)
-		if weight < minCores {
+		weight := parts[neighbour.Image]
+		delete(parts, neighbour.Image)
+		if weight < minParts {
 			continue
 		}
 		q := pressureOf(Pair{image, neighbour.Image})
@@ -168,7 +168,7 @@
 // Forget drops the load of a run that has ended.
 func (m *Pressure) Forget(run string) { m.filter.remove(loadOf(run)) }
 
-// Pair returns the pressure of one core of the neighbour's image on runs of the image.
+// Pair returns the pressure of one part of the neighbour's image on runs of the image.
 func (m *Pressure) Pair(image, neighbour string) float64 {
 	q := pressureOf(Pair{image, neighbour})
 	if !m.filter.has(q) {
--- a/internal/interference/pressure_test.go
+++ b/internal/interference/pressure_test.go
@@ -20,7 +20,7 @@
 		heavy, light := 2*float64(random.IntN(3)), 2*float64(random.IntN(3))
 		load := 0.3 + 0.3*random.Float64()
 		model.Observe("run", "serving", latencyShare(load+0.08*heavy+0.005*light), []Neighbour{
-			{Image: "heavy", Cores: heavy}, {Image: "light", Cores: light},
+			{Image: "heavy", Parts: heavy}, {Image: "light", Parts: light},
 		})
 	}
 	is.True(model.Pair("serving", "heavy") > 0.05)
--- a/internal/planner/consistency_test.go
+++ b/internal/planner/consistency_test.go
@@ -132,7 +132,7 @@
 		left := aimedUsage - serving.run().loadOr(interference.RestLoad)
 		for filler := range p.lives[a.life] {
 			if filler.definition().Filler {
-				left -= p.pressureOf(serving.definition().Image, filler.definition())
+				left -= p.pressureOf(serving.definition().Image, filler.definition(), a)
 			}
 		}
 		tightest = min(tightest, left)
--- a/internal/planner/neighbours.go
+++ b/internal/planner/neighbours.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		for i := range n.serving {
-			n.serving[i].left -= p.pressureOf(n.serving[i].image, r.definition())
+			n.serving[i].left -= p.pressureOf(n.serving[i].image, r.definition(), a)
 		}
 	}
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -309,3 +309,19 @@
 	p.Advance(p.now + retryInterval)
 	is.Equal(total(commit(p)), 0)
 }
+
+// TestLargeWorkerTakesLargeFillers guards against fillers of an unknown image that wait on large workers
+// because each of their cores is taken to press as much as on a small one.
+func TestLargeWorkerTakesLargeFillers(t *testing.T) {
+	is := is.New(t)
+	p := plan(1)
+	large := report(0)
+	large.Capacity = resource.Quantity{MilliCPU: 64000, MemoryBytes: 250 << 30}
+	p.Report(large)
+	add(p, "serving", "urgent", job.Step{
+		Count: 1, Lasting: true, Image: "x", LatencyTarget: 50 * time.Millisecond, Need: resource.Quantity{MilliCPU: 12000},
+	})
+	commit(p)
+	add(p, "filling", "q", job.Step{Count: 2, Filler: true, Image: "new", Need: resource.Quantity{MilliCPU: 7000}})
+	is.Equal(total(commit(p)), 2)
+}
--- a/internal/planner/pressures.go
+++ b/internal/planner/pressures.go
@@ -8,8 +8,6 @@
 const (
 	// aimedUsage is the used part of the shared resource up to which a run keeps its latency target.
 	aimedUsage = 0.76
-	// milliCores is the number of thousandths in a core.
-	milliCores = 1000
 )
 
 // pressureTable joins what all agents learned of how fillers press runs with a latency target.
@@ -54,7 +52,7 @@
 	}, true
 }
 
-// expected returns the expected pressure of one core.
+// expected returns the expected pressure of one part of a worker.
 func (t pressureTable) expected(serving, filler string) float64 {
 	row, _ := t.row(serving, filler)
 	return interference.PressureEstimate{Value: float64(row.Value), Samples: float64(row.Samples)}.Expected()
--- a/internal/planner/sharing.go
+++ b/internal/planner/sharing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"clementineflow/internal/interference"
 	"clementineflow/internal/job"
 	"clementineflow/internal/wire"
 )
@@ -42,7 +43,7 @@
 func (p *Planner) headroom(filler *job.Step, a *agent) float64 {
 	tightest := aimedUsage
 	for _, serving := range p.neighboursOf(a).serving {
-		tightest = min(tightest, serving.left-p.pressureOf(serving.image, filler))
+		tightest = min(tightest, serving.left-p.pressureOf(serving.image, filler, a))
 	}
 	return tightest
 }
@@ -57,9 +58,9 @@
 	return tightest
 }
 
-// pressureOf returns the expected pressure of a filler on runs of an image.
-func (p *Planner) pressureOf(image string, filler *job.Step) float64 {
-	return p.pressures.expected(image, filler.Image) * float64(filler.Need.MilliCPU) / milliCores
+// pressureOf returns the expected pressure of a filler on runs of an image on the agent's worker.
+func (p *Planner) pressureOf(image string, filler *job.Step, a *agent) float64 {
+	return p.pressures.expected(image, filler.Image) * interference.Parts(filler.Need.MilliCPU, a.capacity.MilliCPU)
 }
 
 // pressureRows returns what is known of how a filler presses the runs on a worker.
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -40,8 +40,6 @@
 	adjustInterval = 450 * time.Millisecond
 	// patience is how long a filler must have been held back for its claim to double.
 	patience = 2 * time.Second
-	// milliCores is the number of thousandths in a core.
-	milliCores = 1000
 )
 
 // servingRun is a run with a latency target and its latest latency.
@@ -57,8 +55,8 @@
 	task  string
 	run   uint32
 	image string
-	// cores is what the run uses at full pace, and used what it has used lately.
-	cores float64
+	// parts is what the run uses of the worker at full pace, and used what it has used lately.
+	parts float64
 	used  float64
 }
 
@@ -128,7 +126,7 @@
 func (p *pacer) learn(now time.Duration, serving []servingRun, fillers []fillerRun) {
 	var neighbours []interference.Neighbour
 	for _, filler := range fillers {
-		neighbours = append(neighbours, interference.Neighbour{Image: filler.image, Cores: filler.used})
+		neighbours = append(neighbours, interference.Neighbour{Image: filler.image, Parts: filler.used})
 	}
 	figures := make(map[string]float64, len(serving))
 	for _, s := range serving {
@@ -193,7 +191,7 @@
 	return percent
 }
 
-// worstPressure returns the highest pressure of one core of a filler on the runs.
+// worstPressure returns the highest pressure of one part of a filler on the runs.
 func (p *pacer) worstPressure(filler fillerRun) float64 {
 	worst := 0.0
 	for _, beside := range p.beside {
--- a/internal/runner/pace_test.go
+++ b/internal/runner/pace_test.go
@@ -35,10 +35,10 @@
 	return &sharedWorker{
 		pacer: newPacer(), random: rand.New(rand.NewPCG(seed, 3)), worked: map[string]float64{},
 		fillers: []fillerRun{
-			{task: "a", run: 1, image: "heavy", cores: 2},
-			{task: "b", run: 1, image: "heavy", cores: 2},
-			{task: "c", run: 1, image: "heavy", cores: 2},
-			{task: "d", run: 1, image: "light", cores: 2},
+			{task: "a", run: 1, image: "heavy", parts: 2},
+			{task: "b", run: 1, image: "heavy", parts: 2},
+			{task: "c", run: 1, image: "heavy", parts: 2},
+			{task: "d", run: 1, image: "light", parts: 2},
 		},
 	}
 }
@@ -52,7 +52,7 @@
 		if current := w.pacer.paces[filler.task]; paced && current != nil {
 			percent = current.percent
 		}
-		cores := filler.cores * float64(percent) / fullPace
+		cores := filler.parts * float64(percent) / fullPace
 		w.fillers[i].used = cores
 		w.worked[filler.image] += cores * sampleInterval.Seconds()
 		if filler.image == "heavy" {
@@ -117,7 +117,7 @@
 func TestPacerRepeatsLostPaces(t *testing.T) {
 	is := is.New(t)
 	p := newPacer()
-	fillers := []fillerRun{{task: "a", run: 1, image: "x", cores: 1}}
+	fillers := []fillerRun{{task: "a", run: 1, image: "x", parts: 1}}
 	p.follow(fillers)
 	p.set(time.Second, fillers[0], 20)
 	changes := p.changes(fillers)
@@ -145,9 +145,9 @@
 	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "heavy"}, interference.PressureEstimate{Value: 0.2, Samples: 50})
 	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "light"}, interference.PressureEstimate{Value: 0, Samples: 50})
 	now := 11 * sampleInterval
-	is.True(p.admit(now, fillerRun{task: "a", run: 1, image: "heavy", cores: 3}) < 60)
-	is.Equal(p.admit(now, fillerRun{task: "b", run: 1, image: "light", cores: 3}), fullPace)
-	is.Equal(p.admit(now, fillerRun{task: "c", run: 1, image: "heavy", cores: 3}), 0) // "a" has taken the room
+	is.True(p.admit(now, fillerRun{task: "a", run: 1, image: "heavy", parts: 3}) < 60)
+	is.Equal(p.admit(now, fillerRun{task: "b", run: 1, image: "light", parts: 3}), fullPace)
+	is.Equal(p.admit(now, fillerRun{task: "c", run: 1, image: "heavy", parts: 3}), 0) // "a" has taken the room
 	changes := p.changes([]fillerRun{{task: "a", run: 1}, {task: "b", run: 1}, {task: "c", run: 1}})
 	is.Equal(len(changes), 2) // the worker starts runs at full pace
 }
@@ -158,7 +158,7 @@
 	is := is.New(t)
 	p, serving := besideRun(0.4)
 	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "trusted"}, interference.PressureEstimate{Value: 0, Samples: 1e6})
-	fillers := []fillerRun{{task: "a", run: 1, image: "trusted", cores: 0.5, used: 0.5}}
+	fillers := []fillerRun{{task: "a", run: 1, image: "trusted", parts: 0.5, used: 0.5}}
 	serving[0].share = 3
 	stoppedAfter := time.Duration(0)
 	for sample := range 8 {
@@ -185,7 +185,7 @@
 	is := is.New(t)
 	p, serving := besideRun(0.85)
 	p.model.Adopt(interference.Pair{Class: "serving", Neighbour: "light"}, interference.PressureEstimate{Value: 0.005, Samples: 500})
-	fillers := []fillerRun{{task: "a", run: 1, image: "light", cores: 3, used: 3}}
+	fillers := []fillerRun{{task: "a", run: 1, image: "light", parts: 3, used: 3}}
 	for sample := range 4 {
 		p.adjust(time.Duration(11+sample)*sampleInterval, serving, fillers)
 	}
--- a/internal/runner/room.go
+++ b/internal/runner/room.go
@@ -42,7 +42,7 @@
 func (p *pacer) affordable(filler fillerRun) int {
 	part := 1.0
 	for _, beside := range p.beside {
-		if need := p.model.Pair(beside.image, filler.image) * filler.cores; need > beside.relevant {
+		if need := p.model.Pair(beside.image, filler.image) * filler.parts; need > beside.relevant {
 			part = min(part, beside.room/need)
 		}
 	}
@@ -53,7 +53,7 @@
 func (p *pacer) take(filler fillerRun, percent int) {
 	for i := range p.beside {
 		beside := &p.beside[i]
-		used := p.model.Pair(beside.image, filler.image) * filler.cores * float64(percent) / fullPace
+		used := p.model.Pair(beside.image, filler.image) * filler.parts * float64(percent) / fullPace
 		beside.room = max(0, beside.room-used)
 	}
 }
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 
+	"clementineflow/internal/interference"
 	"clementineflow/internal/wire"
 )
 
@@ -53,7 +54,7 @@
 		a.mu.Unlock()
 		return
 	}
-	filler := local.filler()
+	filler := local.filler(a.worker.Capacity.MilliCPU)
 	a.paces.admit(a.config.Now(), filler)
 	changes := a.paces.changes([]fillerRun{filler})
 	target := a.targetLocked()
@@ -61,11 +62,11 @@
 	a.sendPaces(ctx, target, changes)
 }
 
-// filler returns the run as a filler.
-func (l *localRun) filler() fillerRun {
+// filler returns the run as a filler on a worker with the processors.
+func (l *localRun) filler(capacity int64) fillerRun {
 	return fillerRun{
 		task: l.task, run: l.run, image: l.order.Image,
-		cores: float64(l.order.MilliCPU) / milliCores, used: float64(l.figure) / milliCores,
+		parts: interference.Parts(l.order.MilliCPU, capacity), used: interference.Parts(l.figure, capacity),
 	}
 }
 
@@ -90,7 +91,7 @@
 	var fillers []fillerRun
 	for _, local := range a.runs {
 		if local.order != nil && local.order.Filler && local.settled && !local.stopping {
-			fillers = append(fillers, local.filler())
+			fillers = append(fillers, local.filler(a.worker.Capacity.MilliCPU))
 		}
 	}
 	slices.SortFunc(fillers, func(x, y fillerRun) int { return cmp.Compare(x.task, y.task) })
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -211,7 +211,7 @@
 	Load float32
 }
 
-// PressureRow is how much one core of a filler presses a run with a latency target, by image.
+// PressureRow is how much one part of a worker at work on a filler presses a run with a latency target, by image.
 type PressureRow struct {
 	_       struct{} `cbor:",toarray"`
 	Serving string
