Tell a caller after a second that the outcome of its hand-in is open

Ruled out: 503, which would promise that the job never runs. Change: attempts end 1 s after the first one when a write is open, then the answer is 504, and the caller can hand the job in at another entry; one attempt takes 0.6 s at most in place of 0.8; 50 ms of the caller's time are kept for the answer's way. The same for a cancellation.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,12 +17,15 @@
 // Times of the calls that a caller waits for.
 const (
 	// callTimeout bounds one store call.
-	callTimeout = 800 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// retryDelay is the pause before a store call is repeated.
 	retryDelay = 60 * time.Millisecond
 	// refuseAfter is how long an entry tries to store a job before it refuses it. A caller that is
 	// refused early can still be served by another entry.
 	refuseAfter = 500 * time.Millisecond
+	// giveUpAfter is how long an entry tries to learn the outcome of a write without an answer. A caller that
+	// knows sooner that the outcome is open can hand the job in at another entry.
+	giveUpAfter = time.Second
 	// retryAfter is when a refused caller may come back.
 	retryAfter = time.Second
 	// answerMargin is kept between the last attempt and the caller's deadline.
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -54,16 +54,21 @@
 		if !unanswered && (away || time.Since(began) > refuseAfter) {
 			return g.refuse(spec.ID, Refused, err.Error())
 		}
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
-			return g.giveUp(spec.ID, unanswered, err)
-		}
-		if !wait.Sleep(ctx, retryDelay) {
+		if unanswered && time.Since(began) > giveUpAfter || !g.retry(ctx) {
 			return g.giveUp(spec.ID, unanswered, err)
 		}
 	}
 }
 
-// giveUp returns the answer at the caller's deadline.
+// retry waits for the next attempt, and reports whether the caller's time allows one.
+func (g *Gateway) retry(ctx context.Context) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
+		return false
+	}
+	return wait.Sleep(ctx, retryDelay)
+}
+
+// giveUp returns the answer to a caller whose job is not known to be stored.
 func (g *Gateway) giveUp(id string, unanswered bool, err error) Reply {
 	if unanswered {
 		return g.refuse(id, Unknown, err.Error())
@@ -125,7 +130,7 @@
 
 // Cancel stores the cancellation of a job.
 func (g *Gateway) Cancel(ctx context.Context, id string) Reply {
-	var last error
+	began := time.Now()
 	for {
 		if _, err := g.stored(ctx, id); errors.Is(err, store.ErrNotFound) {
 			return g.refuse(id, NoJob, "no such job")
@@ -141,12 +146,8 @@
 			g.config.Logger.Info("cancellation stored", "job", id, "revision", revision)
 			return Reply{Outcome: Accepted}
 		}
-		last = err
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin {
-			return g.refuse(id, Unknown, last.Error())
-		}
-		if !wait.Sleep(ctx, retryDelay) {
-			return g.refuse(id, Unknown, last.Error())
+		if time.Since(began) > giveUpAfter || !g.retry(ctx) {
+			return g.refuse(id, Unknown, err.Error())
 		}
 	}
 }
--- a/test/jobs/path_test.go
+++ b/test/jobs/path_test.go
@@ -11,6 +11,7 @@
 	"clementineflow/internal/job"
 	"clementineflow/internal/resource"
 	"clementineflow/internal/standin/jobworker"
+	"clementineflow/internal/standin/kvstore"
 )
 
 // inRegion runs a test in a region of two entries and three agents, in virtual time.
@@ -206,3 +207,23 @@
 		is.Equal(r.ledger.startsOn["worker-agent-1"], 4)
 	})
 }
+
+// TestOpenOutcomeIsToldSoon guards against a caller that is held until its deadline while the store does not
+// answer, and against an answer that says of such a job that it never runs.
+func TestOpenOutcomeIsToldSoon(t *testing.T) {
+	inRegion(t, func(is *is.I, r *region) {
+		for _, e := range r.entries {
+			e.faulty.SetFaults(kvstore.Faults{LoseAnswerPercent: 100})
+		}
+		began := time.Now()
+		is.Equal(r.submit(r.entries[0], spec("0000000000000001", 1)), gateway.Unknown)
+		is.True(time.Since(began) <= 1500*time.Millisecond) // half of the time that the caller has
+		is.Equal(r.submit(r.entries[0], spec("0000000000000001", 1)), gateway.Unknown)
+		for _, e := range r.entries {
+			e.faulty.SetFaults(up)
+		}
+		is.Equal(r.submit(r.entries[1], spec("0000000000000001", 1)), gateway.Accepted)
+		time.Sleep(10 * time.Second)
+		is.Equal(r.ledger.started(), 1)
+	})
+}
