--- a/test/jobs/path_test.go
+++ b/test/jobs/path_test.go
@@ -57,7 +57,7 @@
 		state, err := r.state(r.other(), "0000000000000001")
 		is.NoErr(err)
 		is.Equal(state, job.StateDone)
-		is.Equal(r.ledger.started(), 5)
+		is.Equal(r.ledger.Starts(), 5)
 	})
 }
 
@@ -68,12 +68,12 @@
 		began := time.Now()
 		is.Equal(r.submit(r.leader(), spec("0000000000000002", 1, 1)), gateway.Accepted)
 		time.Sleep(2 * time.Second)
-		r.ledger.mu.Lock()
-		defer r.ledger.mu.Unlock()
-		first := r.ledger.lastStart["0000000000000002.0.0.0"]
-		second := r.ledger.lastStart["0000000000000002.0.1.0"]
+		r.ledger.Mu.Lock()
+		defer r.ledger.Mu.Unlock()
+		first := r.ledger.LastStart["0000000000000002.0.0.0"]
+		second := r.ledger.LastStart["0000000000000002.0.1.0"]
 		is.True(first.Sub(began) <= 40*time.Millisecond)
-		is.True(second.Sub(r.ledger.doneAt["0000000000000002.0.0.0"]) <= 40*time.Millisecond)
+		is.True(second.Sub(r.ledger.DoneAt["0000000000000002.0.0.0"]) <= 40*time.Millisecond)
 	})
 }
 
@@ -88,9 +88,9 @@
 		is.NoErr(err)
 		is.Equal(state, job.StateCancelled)
 		is.Equal(r.cancel(r.other(), "00000000000000ff"), gateway.NoJob)
-		r.ledger.mu.Lock()
-		defer r.ledger.mu.Unlock()
-		for task, workers := range r.ledger.running {
+		r.ledger.Mu.Lock()
+		defer r.ledger.Mu.Unlock()
+		for task, workers := range r.ledger.Running {
 			if len(workers) > 0 {
 				t.Errorf("%s still runs", task)
 			}
@@ -110,7 +110,7 @@
 		state, err := r.state(r.leader(), "0000000000000004")
 		is.NoErr(err)
 		is.Equal(state, job.StateFailed)
-		is.Equal(r.ledger.started(), 3)
+		is.Equal(r.ledger.Starts(), 3)
 	})
 }
 
@@ -161,7 +161,7 @@
 		state, err := r.state(r.other(), "0000000000000006")
 		is.NoErr(err)
 		is.Equal(state, job.StateDone)
-		is.Equal(r.ledger.started(), 12)
+		is.Equal(r.ledger.Starts(), 12)
 	})
 }
 
@@ -200,11 +200,11 @@
 		state, err := r.state(r.leader(), "0000000000000008")
 		is.NoErr(err)
 		is.Equal(state, job.StateDone)
-		r.ledger.mu.Lock()
-		defer r.ledger.mu.Unlock()
-		is.Equal(r.ledger.startsOn["worker-agent-0"], 0) // the agents 0 and 2 are in the zone
-		is.Equal(r.ledger.startsOn["worker-agent-2"], 0)
-		is.Equal(r.ledger.startsOn["worker-agent-1"], 4)
+		r.ledger.Mu.Lock()
+		defer r.ledger.Mu.Unlock()
+		is.Equal(r.ledger.StartsOn["worker-agent-0"], 0) // the agents 0 and 2 are in the zone
+		is.Equal(r.ledger.StartsOn["worker-agent-2"], 0)
+		is.Equal(r.ledger.StartsOn["worker-agent-1"], 4)
 	})
 }
 
@@ -224,6 +224,6 @@
 		}
 		is.Equal(r.submit(r.entries[1], spec("0000000000000001", 1)), gateway.Accepted)
 		time.Sleep(10 * time.Second)
-		is.Equal(r.ledger.started(), 1)
+		is.Equal(r.ledger.Starts(), 1)
 	})
 }
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -77,7 +77,7 @@
 	t       *testing.T
 	memory  *kvstore.Memory
 	network *network
-	ledger  *ledger
+	ledger  *jobworker.Ledger
 	logger  *log.Logger
 	entries []*entryProcess
 	agents  []*agentProcess
@@ -114,7 +114,7 @@
 // newRegionWithLog returns a region whose processes write to the log.
 func newRegionWithLog(t *testing.T, entries, agents int, rate float64, logger *log.Logger) *region {
 	r := &region{
-		t: t, memory: kvstore.NewMemory(), network: newNetwork(), ledger: newLedger(),
+		t: t, memory: kvstore.NewMemory(), network: newNetwork(), ledger: jobworker.NewLedger(),
 		logger: logger, began: time.Now(),
 		work: func(string) jobworker.Work {
 			return jobworker.Work{Duration: 700 * time.Millisecond, Need: resource.Quantity{MilliCPU: 1000}}
@@ -123,7 +123,7 @@
 	r.configure("1")
 	for i := range agents {
 		a := &agentProcess{region: r, name: fmt.Sprintf("agent-%d", i), zone: zones[i%len(zones)]}
-		r.ledger.zoneOf["worker-"+a.name] = a.zone
+		r.ledger.ZoneOf["worker-"+a.name] = a.zone
 		a.worker = jobworker.New(jobworker.Config{
 			ID: "worker-" + a.name, Capacity: resource.Quantity{MilliCPU: 4000}, Rate: rate,
 			Work: func(task string) jobworker.Work { return r.work(task) }, Observer: r.ledger,
@@ -166,15 +166,15 @@
 
 // setZoneOut takes a zone out of service, or back.
 func (r *region) setZoneOut(zone string, out bool) {
-	r.ledger.mu.Lock()
-	defer r.ledger.mu.Unlock()
+	r.ledger.Mu.Lock()
+	defer r.ledger.Mu.Unlock()
 	key := source{}.ZoneKey(zone)
 	if out {
 		r.put(key, "{}")
-		r.ledger.zonesOut[zone] = time.Now()
+		r.ledger.ZonesOut[zone] = time.Now()
 		return
 	}
-	delete(r.ledger.zonesOut, zone)
+	delete(r.ledger.ZonesOut, zone)
 	if _, err := r.memory.Commit(context.Background(), store.Transaction{Deletes: []string{key}}); err != nil {
 		r.t.Fatal(err)
 	}
@@ -301,9 +301,9 @@
 
 // submit hands a job in at the entry and returns the answer.
 func (r *region) submit(e *entryProcess, s *job.Spec) gateway.Outcome {
-	r.ledger.mu.Lock()
-	r.ledger.specs[s.ID] = s
-	r.ledger.mu.Unlock()
+	r.ledger.Mu.Lock()
+	r.ledger.Specs[s.ID] = s
+	r.ledger.Mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	return e.gateway.Submit(ctx, "host", "/queue/"+s.ID, s).Outcome
@@ -322,9 +322,9 @@
 	defer cancel()
 	outcome := e.gateway.Cancel(ctx, id).Outcome
 	if outcome == gateway.Accepted {
-		r.ledger.mu.Lock()
-		r.ledger.cancelled[id] = time.Now()
-		r.ledger.mu.Unlock()
+		r.ledger.Mu.Lock()
+		r.ledger.Cancelled[id] = time.Now()
+		r.ledger.Mu.Unlock()
 	}
 	return outcome
 }
@@ -332,9 +332,9 @@
 // check fails the test if a promise was broken.
 func (r *region) check() {
 	r.t.Helper()
-	r.ledger.mu.Lock()
-	defer r.ledger.mu.Unlock()
-	for _, broken := range r.ledger.broken {
+	r.ledger.Mu.Lock()
+	defer r.ledger.Mu.Unlock()
+	for _, broken := range r.ledger.Broken {
 		r.t.Error(broken)
 	}
 }
--- a/test/jobs/silence_test.go
+++ b/test/jobs/silence_test.go
@@ -26,7 +26,7 @@
 	}
 	is.Equal(r.submit(r.leader(), spec("0000000000000001", 6)), gateway.Accepted)
 	time.Sleep(time.Second)
-	is.Equal(r.ledger.started(), 6)
+	is.Equal(r.ledger.Starts(), 6)
 }
 
 // checkRanOnce makes sure that the long work is done and that none of it was started again.
@@ -35,7 +35,7 @@
 	state, err := r.state(r.leader(), "0000000000000001")
 	is.NoErr(err)
 	is.Equal(state, job.StateDone)
-	is.Equal(r.ledger.started(), 6)
+	is.Equal(r.ledger.Starts(), 6)
 }
 
 // TestWorkOutlastsAShortCut guards against running work that is given up and started elsewhere because its
