--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -325,3 +325,34 @@
 	add(p, "filling", "q", job.Step{Count: 2, Filler: true, Image: "new", Need: resource.Quantity{MilliCPU: 7000}})
 	is.Equal(total(commit(p)), 2)
 }
+
+// TestLastingFillerIsNotInterrupted guards against a move that takes a lasting task away from a sound worker
+// although its step bounds how many of its tasks the system may interrupt.
+func TestLastingFillerIsNotInterrupted(t *testing.T) {
+	for _, bounded := range []bool{true, false} {
+		is := is.New(t)
+		p := plan(1)
+		step := job.Step{Count: 1, Filler: true, Lasting: true, Checkpoints: true, Image: "heavy"}
+		if bounded {
+			step.MaxUnavailable = 1
+		}
+		add(p, "filling", "q", step)
+		commit(p)
+		task, _ := p.Task("filling.0.0.0")
+		add(p, "serving", "urgent", job.Step{Count: 1, Lasting: true, Image: "x", LatencyTarget: 50 * time.Millisecond})
+		commit(p)
+		p.Report(report(1))
+		p.RunProgress(task.Worker.Agent, &wire.RunProgress{
+			WorkerID: task.Worker.ID, Born: 1,
+			Pressures: []wire.PressureRow{{Serving: "x", Filler: "heavy", Value: 0.3, Samples: 100}},
+			Held:      []wire.HeldRow{{Task: "filling.0.0.0", Run: task.Run, Millis: 5000}},
+		})
+		stops := 0
+		for _, order := range p.TakeOrders() {
+			if _, ok := order.Message.(*wire.StopRun); ok {
+				stops++
+			}
+		}
+		is.Equal(stops == 0, bounded) // an unbounded one moves to the free worker
+	}
+}
--- a/internal/planner/sharing.go
+++ b/internal/planner/sharing.go
@@ -88,6 +88,9 @@
 	if !r.definition().Checkpoints && r.run().percent > losablePercent {
 		return
 	}
+	if r.definition().Lasting && r.definition().MaxUnavailable > 0 {
+		return
+	}
 	better := p.optionsFor(r.entry, r.step, p.workers, false).best(r)
 	if better == nil || better.agent == a || better.headroom < p.headroomNow(a)+moveGain {
 		return
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -33,6 +33,12 @@
 
 // linked runs an agent with a worker and hands the coordinator's end of its link to the test.
 func linked(t *testing.T, test func(is *is.I, conn link.Conn, w *jobworker.Worker)) {
+	t.Helper()
+	linkedAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, _ *runner.Agent) { test(is, conn, w) })
+}
+
+// linkedAgent is linked for tests that also need the agent.
+func linkedAgent(t *testing.T, test func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
@@ -54,7 +60,7 @@
 		}
 		description, _ := w.Describe("north", 1)
 		agent.Describe(description)
-		test(is.New(t), near, w)
+		test(is.New(t), near, w, agent)
 		near.Close()
 		cancel()
 		<-done
@@ -85,24 +91,44 @@
 	}
 }
 
+// awaitReport waits for a complete report and returns the number of a ping that has arrived: an order that
+// names a ping that was not sent yet is too old.
+func awaitReport(is *is.I, conn link.Conn) uint64 {
+	lastPing := uint64(0)
+	report := &wire.AgentReport{}
+	for !report.Complete || lastPing == 0 {
+		message, err := conn.Receive()
+		is.NoErr(err)
+		switch message := message.(type) {
+		case *wire.AgentPing:
+			lastPing = message.Sequence
+			is.NoErr(conn.Send(&wire.PingReply{Sequence: lastPing}))
+		case *wire.AgentReport:
+			report = message
+		}
+	}
+	return lastPing
+}
+
+// TestNoStartOnALeavingWorker guards against a start that was on its way when the worker announced its end.
+func TestNoStartOnALeavingWorker(t *testing.T) {
+	linkedAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		lastPing := awaitReport(is, conn)
+		leaving, _ := w.Describe("north", 2)
+		leaving.Leaving, leaving.Remaining = true, time.Second
+		is.True(agent.Describe(leaving))
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: lastPing}))
+		absent, ok := receive(t, conn, wire.KindRunProgress, wire.KindAgentReport).(*wire.RunAbsent)
+		is.True(ok)
+		is.Equal(absent.Task, testTask)
+	})
+}
+
 // TestRepeatedStartOfAnEndedRun guards against a run that is reported as absent because its start order
 // came again, too old, after it had ended: the task would be done twice (history seed 5244).
 func TestRepeatedStartOfAnEndedRun(t *testing.T) {
 	linked(t, func(is *is.I, conn link.Conn, _ *jobworker.Worker) {
-		lastPing := uint64(0)
-		report := &wire.AgentReport{}
-		// An order names a ping that has arrived: one for a ping that was not sent yet is too old.
-		for !report.Complete || lastPing == 0 {
-			message, err := conn.Receive()
-			is.NoErr(err)
-			switch message := message.(type) {
-			case *wire.AgentPing:
-				lastPing = message.Sequence
-				is.NoErr(conn.Send(&wire.PingReply{Sequence: lastPing}))
-			case *wire.AgentReport:
-				report = message
-			}
-		}
+		lastPing := awaitReport(is, conn)
 		order := &wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: lastPing}
 		is.NoErr(conn.Send(order))
 		ended := receive(t, conn, wire.KindRunProgress).(*wire.RunEnded)
--- /dev/null
+++ b/test/jobs/config_test.go
@@ -0,0 +1,45 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/gateway"
+	"clementineflow/internal/operatorconfig"
+	"clementineflow/internal/standin/kvstore"
+	"clementineflow/internal/store"
+)
+
+// noCoordinator answers no questions.
+type noCoordinator struct{ gateway.Coordinator }
+
+// TestHandInUnderADroppedQueue guards against an entry that missed a change of the configuration, for whatever
+// reason, and accepts a job for a queue that the operator has removed.
+func TestHandInUnderADroppedQueue(t *testing.T) {
+	is := is.New(t)
+	memory := kvstore.NewMemory()
+	view := operatorconfig.NewView(source{}, zones, newLogger())
+	write := func(value string) {
+		_, err := memory.Commit(context.Background(), store.Transaction{
+			Writes: []store.Write{{Key: source{}.ConfigurationKey(), Value: []byte(value)}},
+		})
+		is.NoErr(err)
+	}
+	write("1")
+	item, err := memory.Get(context.Background(), source{}.ConfigurationKey())
+	is.NoErr(err)
+	view.Apply([]store.Event{{KeyValue: item}}, time.Now())
+	g := gateway.New(gateway.Config{
+		Store: kvstore.NewFaulty(memory, 1), View: view, Coordinator: noCoordinator{}, Logger: newLogger(),
+	})
+	write(droppedQueue)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	is.Equal(g.Submit(ctx, "host", "/queue/0000000000000001", spec("0000000000000001", 1)).Outcome, gateway.NoQueue)
+	jobs, err := memory.List(ctx, "in/")
+	is.NoErr(err)
+	is.Equal(len(jobs), 0)
+}
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -44,6 +44,9 @@
 
 var zones = []string{"north", "south"}
 
+// droppedQueue is the value of a configuration without a queue.
+const droppedQueue = "2 without the queue"
+
 // source reads a configuration of one queue from a value like "3" (the version).
 type source struct{}
 
@@ -55,6 +58,9 @@
 	config := &operatorconfig.Config{Queues: []operatorconfig.Queue{{
 		Name: "queue", Host: "host", Prefix: "/queue/", Service: "service", MaxAttempts: 3, SlackFactor: 2,
 	}}}
+	if string(value) == droppedQueue {
+		config.Queues = nil
+	}
 	_, err := fmt.Sscan(string(value), &config.Version)
 	config.Index()
 	return config, err
