Tests: a late report of a gone worker, a zone that stays out after restarts

TestLateReportOfAGoneWorker is red if the agent reports a worker that it has not looked at; TestZoneStaysOutAfterRestarts has no run without its guard.

--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -147,3 +147,39 @@
 		is.Equal(repeated.Ends[0].Number, uint64(1))
 	})
 }
+
+// TestLateReportOfAGoneWorker guards against a restarted agent that takes a delayed status report of a worker
+// that has left for a worker to use.
+func TestLateReportOfAGoneWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		w := jobworker.New(jobworker.Config{ID: "w", Observer: quiet{}})
+		late, _ := w.Describe("north", 1)
+		w.Crash()
+		agent := runner.New(runner.Config{
+			Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: 5 * time.Second,
+			Now: func() time.Duration { return time.Since(began) + time.Second }, Logger: log.New(io.Discard),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { agent.Run(ctx); close(done) }()
+		near, far := link.Pipe()
+		go agent.Serve(ctx, far)
+		is.NoErr(near.Send(&wire.TermHello{Term: 1, Fence: 1, Agent: agentName}))
+		is.True(agent.Describe(late))
+		for time.Since(began) < 5*time.Second {
+			message, err := near.Receive()
+			is.NoErr(err)
+			switch message := message.(type) {
+			case *wire.AgentPing:
+				is.NoErr(near.Send(&wire.PingReply{Sequence: message.Sequence}))
+			case *wire.AgentReport:
+				is.Equal(message.WorkerID, "") // nothing to place work on
+			}
+		}
+		near.Close()
+		cancel()
+		<-done
+	})
+}
--- a/test/jobs/config_test.go
+++ b/test/jobs/config_test.go
@@ -43,3 +43,27 @@
 	is.NoErr(err)
 	is.Equal(len(jobs), 0)
 }
+
+// TestZoneStaysOutAfterRestarts guards against entries and agents that, once restarted, use a zone again that
+// the operator has taken out of service.
+func TestZoneStaysOutAfterRestarts(t *testing.T) {
+	inRegion(t, func(is *is.I, r *region) {
+		r.setZoneOut(zones[0], true)
+		for i, e := range r.entries {
+			e.kill()
+			e.start(uint64(i))
+		}
+		for _, a := range r.agents {
+			a.kill()
+			a.start()
+		}
+		time.Sleep(handOverTime)
+		is.Equal(r.submit(r.other(), spec("0000000000000001", 4)), gateway.Accepted)
+		time.Sleep(3 * time.Second)
+		r.ledger.Mu.Lock()
+		defer r.ledger.Mu.Unlock()
+		is.Equal(r.ledger.StartsOn["worker-agent-0"], 0)
+		is.Equal(r.ledger.StartsOn["worker-agent-2"], 0)
+		is.Equal(r.ledger.StartsOn["worker-agent-1"], 4)
+	})
+}
