Repeat a start without an answer at once; do not wait for an entry that stops

Change: a start takes 0.35 s at most, and the agent takes a look of its own before it repeats the start. Now a stopping entry withdraws its record and makes no calls for others.

--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -97,6 +97,7 @@
 	<-ctx.Done()
 	p.logger.Info("stopping", "cause", context.Cause(ctx))
 	front.Stop()
+	group.Go(func() { detour.Retire(serving) })
 	time.Sleep(rotationTime)
 	stop, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -95,9 +95,9 @@
 		r.config.Logger.Error("entry record not encoded", "error", err)
 		return
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !r.retired.Load() {
 		lease, err := r.writeRecord(ctx, value)
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && !r.retired.Load() {
 			wait.Sleep(ctx, renewInterval)
 			err = r.renewRecord(ctx, lease)
 		}
@@ -108,6 +108,16 @@
 	}
 }
 
+// Retire withdraws this entry before it stops: it makes no more calls for others, and its record goes, so that
+// no one waits for it to take over.
+func (r *Relay) Retire(ctx context.Context) {
+	r.retired.Store(true)
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.config.Store.Commit(call, store.Transaction{Deletes: []string{recordPrefix + r.config.Name}})
+	r.config.Logger.Info("entry record withdrawn", "error", err)
+}
+
 // writeRecord writes this entry's record under a new lease.
 func (r *Relay) writeRecord(ctx context.Context, value []byte) (store.LeaseID, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -34,6 +35,8 @@
 	direct    *direct
 	directory *directory
 	slots     chan struct{}
+	// retired is set once this entry is about to stop.
+	retired atomic.Bool
 
 	mu sync.Mutex
 	// peer is the link to the entry that makes the calls, or nil.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -162,3 +162,34 @@
 		is.Equal(reply.(*wire.StoreReply).Outcome, wire.StoreNotDone)
 	})
 }
+
+// TestStoppingEntryIsNotWaitedFor guards against a hand-over to an entry that is about to stop: it still
+// answers and reaches the store, but it takes part in no election any more.
+func TestStoppingEntryIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		memory := kvstore.NewMemory()
+		dialer := pairDialer{}
+		strong, _ := entryAt("strong", memory, dialer)
+		strong.config.Strength = 1
+		dialer["strong"] = func(conn link.Conn) { serve(ctx, strong, conn) }
+		weak, _ := entryAt("weak", memory, dialer)
+		done := make(chan struct{}, 2)
+		for _, r := range []*Relay{strong, weak} {
+			go func() { r.Run(ctx); done <- struct{}{} }()
+		}
+		time.Sleep(time.Second)
+		is.Equal(weak.Strongest(), 1.0)
+		is.True(weak.StrongerServes(ctx, 0.5))
+		strong.Retire(ctx)
+		is.True(!strong.serves(ctx, "strong"))
+		time.Sleep(directoryWait)
+		is.Equal(weak.Strongest(), 0.0)
+		is.True(!weak.StrongerServes(ctx, 0.5))
+		cancel()
+		<-done
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -43,7 +43,7 @@
 // make makes the call on this entry's own path.
 func (r *Relay) make(ctx context.Context, call *wire.StoreCall) *wire.StoreReply {
 	reply := &wire.StoreReply{}
-	if r.direct.health.away() {
+	if r.retired.Load() || r.direct.health.away() {
 		reply.Outcome = wire.StoreNotDone
 		return reply
 	}
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -183,3 +183,20 @@
 		<-done
 	})
 }
+
+// TestStartWithoutAnswerIsRepeatedSoon guards against a start that is given up, and placed anew more than a
+// second later, because its first call got no answer.
+func TestStartWithoutAnswerIsRepeatedSoon(t *testing.T) {
+	linked(t, func(is *is.I, conn link.Conn, w *jobworker.Worker) {
+		lastPing := awaitReport(is, conn)
+		// The agent's look at its worker waits for an end meanwhile.
+		time.Sleep(300 * time.Millisecond)
+		w.DelayOrders(1, 4*time.Second)
+		sent := time.Now()
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: lastPing}))
+		ended, ok := receive(t, conn, wire.KindRunProgress, wire.KindAgentReport).(*wire.RunEnded)
+		is.True(ok)
+		is.Equal(ended.Ends[0].Outcome, uint8(job.OutcomeDone))
+		is.True(time.Since(sent) <= taskTime+600*time.Millisecond)
+	})
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -104,6 +104,13 @@
 // tryStart makes one attempt. It returns "" once the run is there or its life is over, reasonRetry, or
 // why the run will not be started.
 func (a *Agent) tryStart(ctx context.Context, local *localRun, deadline time.Duration, unanswered *bool) string {
+	if *unanswered && !a.isVerified() {
+		// The look in progress may wait for an end; a look of its own lets the start be repeated at once.
+		if present, ok := a.lookFor(ctx, local); ok && present {
+			a.admitFiller(ctx, local)
+			return ""
+		}
+	}
 	order := local.order
 	a.mu.Lock()
 	now := a.config.Now()
@@ -130,7 +137,7 @@
 	case !verified:
 		return reasonRetry
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	verdict, err := a.config.Worker.Start(call, request)
 	return a.judge(local, verdict, err, unanswered)
@@ -170,6 +177,13 @@
 	a.verified = false
 }
 
+// isVerified reports whether the latest call reached the life of the worker that the agent knows.
+func (a *Agent) isVerified() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.verified
+}
+
 // started notes a run that the worker has confirmed.
 func (a *Agent) started(local *localRun, clock time.Duration) {
 	a.mu.Lock()
--- a/internal/runner/timing.go
+++ b/internal/runner/timing.go
@@ -10,7 +10,10 @@
 	// startDue is how far ahead a start's own due time lies. A start that the worker carries out later is
 	// rejected by it.
 	startDue = 1500 * time.Millisecond
-	// callTimeout bounds a start, stop or pace call.
+	// startTimeout bounds a start call. The worker is on the same machine, and the call is idempotent, so it is
+	// better repeated soon: the order has to be carried out within maxOrderAge.
+	startTimeout = 350 * time.Millisecond
+	// callTimeout bounds a stop, pace or short look.
 	callTimeout = 700 * time.Millisecond
 	// retryDelay is the pause before a call is repeated.
 	retryDelay = 100 * time.Millisecond
