Tell the coordinator of a stored job at once

Change: the entry that has stored a job or a cancellation tells the coordinator over its link; the watch brings the same record again and is what counts if the notice is lost. Only hand-ins and cancellations are taken in this way. Test: TestStartWithoutTheWatch (the coordinator's watch misses every event; not started without the notice). The stand-in store now lets watches of changes miss events too; the codec's tests cover all kinds of messages.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -187,6 +188,24 @@
 	return answer.state, answer.known, err
 }
 
+// Notice takes in a job or a cancellation that has just been stored, ahead of the store's watch, and reports
+// whether this entry is the coordinator. A notice that finds the queue of events full is left to the watch.
+func (c *Coordinator) Notice(key string, value []byte) bool {
+	t := c.current()
+	if t == nil {
+		return false
+	}
+	if !strings.HasPrefix(key, jobPrefix) && !strings.HasPrefix(key, cancelPrefix) {
+		c.config.Logger.Warn("notice of a key that is not a hand-in", "key", key)
+		return true
+	}
+	select {
+	case t.events <- event{input: []store.Event{{KeyValue: store.KeyValue{Key: key, Value: value}}}}:
+	default:
+	}
+	return true
+}
+
 // Waiting returns the number of jobs of the queue of which no task has started.
 func (c *Coordinator) Waiting(ctx context.Context, queue string) (int, error) {
 	t := c.current()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,8 @@
 	State(ctx context.Context, id string) (state job.State, known bool, err error)
 	// Waiting returns the number of jobs of the queue of which no task has started.
 	Waiting(ctx context.Context, queue string) (int, error)
+	// Notice tells the coordinator of a job or a cancellation that has just been stored. It does not block.
+	Notice(key string, value []byte)
 }
 
 // Gateway answers callers. It is safe for concurrent use.
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -16,7 +16,11 @@
 
 // Local is the coordinator's part of this entry.
 type Local interface {
-	Coordinator
+	// State and Waiting answer as those of a Coordinator do.
+	State(ctx context.Context, id string) (state job.State, known bool, err error)
+	Waiting(ctx context.Context, queue string) (int, error)
+	// Notice takes in what has just been stored, and reports whether this entry is the coordinator.
+	Notice(key string, value []byte) bool
 	// Leader returns the address of the coordinator, or "", and a channel closed at the next change.
 	Leader() (string, <-chan struct{})
 }
@@ -219,6 +223,22 @@
 	return reply.Waiting, nil
 }
 
+// Notice implements Coordinator. Without a link the coordinator learns of the record from the store.
+func (p *Peer) Notice(key string, value []byte) {
+	if p.local.Notice(key, value) {
+		return
+	}
+	p.mu.Lock()
+	conn := p.conn
+	p.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	if err := conn.Send(&wire.InputNotice{Key: key, Value: value}); err != nil {
+		p.logger.Info("notice to the coordinator not sent", "key", key, "error", err)
+	}
+}
+
 // Serve answers the questions of another entry on one link.
 func (p *Peer) Serve(ctx context.Context, conn link.Conn) {
 	for {
@@ -230,6 +250,10 @@
 			p.stores.Serve(ctx, conn, call)
 			continue
 		}
+		if notice, ok := message.(*wire.InputNotice); ok {
+			p.local.Notice(notice.Key, notice.Value)
+			continue
+		}
 		if err := conn.Send(p.answer(ctx, message)); err != nil {
 			return
 		}
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -109,6 +109,7 @@
 	})
 	if err == nil {
 		g.config.Logger.Info("job stored", "job", spec.ID, "queue", queue.Name, "revision", revision, "config", snapshot.Config.Version)
+		g.config.Coordinator.Notice(key, value)
 		return Reply{Outcome: Accepted}, nil
 	}
 	return g.judge(spec.ID, key, snapshot, err, sent)
@@ -144,6 +145,7 @@
 		cancel()
 		if err == nil {
 			g.config.Logger.Info("cancellation stored", "job", id, "revision", revision)
+			g.config.Coordinator.Notice(coordinator.CancelKey(id), []byte{1})
 			return Reply{Outcome: Accepted}
 		}
 		if time.Since(began) > giveUpAfter || !g.retry(ctx) {
--- a/internal/standin/kvstore/faultytransaction.go
+++ b/internal/standin/kvstore/faultytransaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"clementineflow/internal/store"
@@ -47,5 +48,21 @@
 		// The store went down while the call waited.
 		return store.Changes{}, store.ErrUnavailable
 	}
+	heard := slices.DeleteFunc(slices.Clone(changes.Events), func(store.Event) bool { return f.misses() })
+	if len(heard) == 0 && len(changes.Events) > 0 {
+		// A watch that missed all events goes on waiting.
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	changes.Events = heard
 	return changes, err
 }
+
+// misses reports whether a watch leaves out an event.
+func (f *Faulty) misses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chanceLocked(f.faults.MissEventPercent)
+}
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -10,7 +10,7 @@
 // TestRoundTrip guards against a message kind that the decoder does not construct.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
-	for kind := KindHello; kind <= KindPeerPing; kind++ {
+	for kind := KindHello; kind <= KindInputNotice; kind++ {
 		message := newMessage(kind)
 		is.True(message != nil)
 		frame, err := Encode(message)
@@ -34,7 +34,7 @@
 
 // FuzzDecode guards against a panic or an unbounded allocation on malformed frames.
 func FuzzDecode(f *testing.F) {
-	for kind := KindHello; kind <= KindPeerPing; kind++ {
+	for kind := KindHello; kind <= KindInputNotice; kind++ {
 		frame, err := Encode(newMessage(kind))
 		if err != nil {
 			f.Fatal(err)
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -39,6 +39,8 @@
 		return &StoreCall{}
 	case KindStoreReply:
 		return &StoreReply{}
+	case KindInputNotice:
+		return &InputNotice{}
 	default:
 		return nil
 	}
@@ -273,6 +275,16 @@
 // Kind implements Message.
 func (*QueueReply) Kind() Kind { return KindQueueReply }
 
+// InputNotice tells the coordinator of a job or a cancellation that has just been stored. The coordinator
+// would learn of it from the store a little later; a notice may get lost.
+type InputNotice struct {
+	Key   string `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint"`
+}
+
+// Kind implements Message.
+func (*InputNotice) Kind() Kind { return KindInputNotice }
+
 // PeerPing keeps a link between two entries from falling silent; it is sent back as it is.
 type PeerPing struct {
 	Sequence uint64 `cbor:"1,keyasint"`
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -44,6 +44,8 @@
 	// Store calls that one entry makes for another.
 	KindStoreCall  Kind = 35
 	KindStoreReply Kind = 36
+	// KindInputNotice is an entry's notice of a record for the coordinator.
+	KindInputNotice Kind = 37
 )
 
 // Message is one message between two processes.
--- a/test/jobs/path_test.go
+++ b/test/jobs/path_test.go
@@ -227,3 +227,22 @@
 		is.Equal(r.ledger.Starts(), 1)
 	})
 }
+
+// TestStartWithoutTheWatch guards against a job that waits because the coordinator's watch of the store is deaf
+// or slow, although the entry that stored the job can tell it.
+func TestStartWithoutTheWatch(t *testing.T) {
+	inRegion(t, func(is *is.I, r *region) {
+		r.leader().faulty.SetFaults(kvstore.Faults{MissEventPercent: 100})
+		for i, e := range []*entryProcess{r.other(), r.leader()} {
+			id := []string{"0000000000000001", "0000000000000002"}[i]
+			began := time.Now()
+			is.Equal(r.submit(e, spec(id, 1)), gateway.Accepted)
+			time.Sleep(500 * time.Millisecond)
+			r.ledger.Mu.Lock()
+			first, started := r.ledger.LastStart[id+".0.0.0"]
+			r.ledger.Mu.Unlock()
+			is.True(started)
+			is.True(first.Sub(began) <= 40*time.Millisecond)
+		}
+	})
+}
