Report ends soon after a lost look

Change: a look waits for 0.5 s, as it did beside fillers, and its answer may take 0.3 s more. Test: TestEndIsReportedSoonAfterALostLook, red with the former times.

--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -200,3 +200,19 @@
 		is.True(time.Since(sent) <= taskTime+600*time.Millisecond)
 	})
 }
+
+// TestEndIsReportedSoonAfterALostLook guards against ends that are reported more than a second late because
+// the answer of the look that waited for them was lost.
+func TestEndIsReportedSoonAfterALostLook(t *testing.T) {
+	linked(t, func(is *is.I, conn link.Conn, w *jobworker.Worker) {
+		lastPing := awaitReport(is, conn)
+		w.DelayOrders(1, 4*time.Second)
+		time.Sleep(300 * time.Millisecond)
+		sent := time.Now()
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Born: 1, LastPing: lastPing}))
+		ended, ok := receive(t, conn, wire.KindRunProgress, wire.KindAgentReport).(*wire.RunEnded)
+		is.True(ok)
+		is.Equal(ended.Ends[0].Outcome, uint8(job.OutcomeDone))
+		is.True(time.Since(sent) <= taskTime+600*time.Millisecond)
+	})
+}
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -60,9 +60,6 @@
 	}
 	now := a.config.Now()
 	request = HoldRequest{Target: a.targetLocked(), ConfirmedUpTo: a.confirmedLocked(), Wait: lookWait}
-	if a.sharingLocked() {
-		request.Wait = sharedLookWait
-	}
 	if now-a.answeredAt < silenceBound {
 		request.Due, _ = a.lease.extend(now, a.lease.term)
 		request.Wait = min(request.Wait, a.lease.lookWait(now))
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -9,18 +9,6 @@
 	"clementineflow/internal/wire"
 )
 
-// sharingLocked reports whether runs with a latency target share the worker with fillers.
-func (a *Agent) sharingLocked() bool {
-	serving, filling := false, false
-	for _, local := range a.runs {
-		if local.order != nil {
-			serving = serving || local.order.LatencyTargetMillis > 0
-			filling = filling || local.order.Filler
-		}
-	}
-	return serving && filling
-}
-
 // adjustPaces takes in the latencies of a look and paces the fillers.
 func (a *Agent) adjustPaces(ctx context.Context, look Look) {
 	a.mu.Lock()
--- a/internal/runner/timing.go
+++ b/internal/runner/timing.go
@@ -17,12 +17,11 @@
 	callTimeout = 700 * time.Millisecond
 	// retryDelay is the pause before a call is repeated.
 	retryDelay = 100 * time.Millisecond
-	// lookWait is how long the worker waits for an end before it answers a look.
-	lookWait = time.Second
-	// sharedLookWait is used while runs with a latency target share the worker with fillers.
-	sharedLookWait = 500 * time.Millisecond
-	// lookTimeout is what a look may take beyond its wait.
-	lookTimeout = 700 * time.Millisecond
+	// lookWait is how long the worker waits for an end before it answers a look. Ends are reported late by it if
+	// the answer of a look is lost.
+	lookWait = 500 * time.Millisecond
+	// lookTimeout is what a look may take beyond its wait; the worker is on the same machine.
+	lookTimeout = 300 * time.Millisecond
 	// promptLook is the time within which an answer did not wait for an end.
 	promptLook = 20 * time.Millisecond
 	// confirmWait is how long the next look waits for the confirmation of the ends just reported.
