--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUF       := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
 HANDMADE  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity experiment failures
+.PHONY: build test format check-format lint generate check-generated fuzz-seeds demo bench capacity experiment failures soak
 
 ## build: compiles the programs into bin/
 build:
@@ -54,6 +54,10 @@
 experiment: build
 	bin/clementine-standin experiment
 
+## soak: plays fresh seeds of the fault soak with real processes; SEEDS and FIRST_SEED set which
+soak:
+	go test -count=1 -timeout 3h -v -run TestSoak ./platform -args -soak-seeds $${SEEDS:-20} -soak-first-seed $${FIRST_SEED:-$$(date +%s)}
+
 ## failures: measures what callers see during one failure at a time
 failures: build
 	scripts/failures.sh
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures the request path against direct calls of the target, an idle agent, and the store calls.
-# Prints one table. The run takes about three minutes and uses at most 18 processes.
+# Prints one table, and what a start costs the coordinator's planner at several sizes. The run takes about
+# three minutes and uses at most 18 processes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/cluster.sh
@@ -136,3 +137,7 @@
     printf "%-34s %10.2f %10.2f %6s\n", sprintf("%d tasks in %.1f s, one by one", tasks, seconds), all / seconds, cas / seconds, average
     printf "%-34s %10s %10.2f\n", "writes per task", "", cas / tasks
   }'
+
+echo
+echo "planner of the users' platform, one operation is one start:"
+go test -run '^$' -bench 'Planner|IdlePass' -benchtime 3000x ./internal/planner | grep '^Benchmark'
