clementinectl history: what the logs say about one job, in order

Cause: a job's lines are spread over the logs of entries and agents, and a take-over between them has no id to search. Change: 'clementinectl history ID [FILES]' reads logs of any processes, or standard input, and prints the lines about a job or one task by time, with the changes of the coordinator around them, as table, JSON or YAML; it needs no server.

--- /dev/null
+++ b/cmd/clementinectl/history_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// takeOverLog holds lines of a played day: a job runs through a lost order and a take-over.
+const takeOverLog = "testdata/take-over.log"
+
+// TestHistory guards against a history that leaves out a decision about a task, shows another job's, or is not
+// in the order of the times when the logs of several processes are read one after the other.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile(takeOverLog)
+	is.NoErr(err)
+	// The later process first, with lines that are not of a daemon's log and one of another job.
+	lines := strings.SplitAfter(string(data), "\n")
+	shuffled := filepath.Join(t.TempDir(), "all.log")
+	content := "panic: not a log line\n\x00\xff time=yesterday\n" + strings.Join(lines[11:], "") + strings.Join(lines[:11], "") +
+		"time=2026-07-13T06:07:02Z level=info msg=\"task assigned\" task=53b93f7611125713f.0.0.1 run=1\n"
+	is.NoErr(os.WriteFile(shuffled, []byte(content), 0o600))
+
+	code, output, _ := execute(t, "127.0.0.1:1", "history -o json 53b93f7611125713 "+shuffled)
+	is.Equal(code, exitOK)
+	var history []logLine
+	is.NoErr(json.Unmarshal([]byte(output), &history))
+	is.Equal(len(history), 12) // eleven of the job and the election between them
+	is.Equal(history[0].Message, "job stored")
+	is.Equal(history[0].Process, "front-grand-baie-2")
+	is.Equal(history[10].Message, "elected coordinator")
+	is.Equal(history[11].Message, "job ended")
+
+	code, output, _ = execute(t, "127.0.0.1:1", "history 53b93f7611125713.0.0.12 "+shuffled)
+	is.Equal(code, exitOK)
+	is.Equal(strings.Count(output, "\n"), 5) // the header and four decisions
+	is.True(strings.Contains(output, "+1.227 s"))
+	is.True(strings.Contains(output, "reason=unanswered"))
+
+	code, _, messages := execute(t, "127.0.0.1:1", "history ffffffffffffffff "+shuffled)
+	is.Equal(code, exitNotFound)
+	is.True(strings.Contains(messages, "ffffffffffffffff"))
+}
+
+// FuzzParseLogLine guards against a line that ends the reading of a log.
+func FuzzParseLogLine(f *testing.F) {
+	f.Add("front-1 | time=2026-07-13T06:07:02.62643027Z level=info msg=\"run ended\" task=a.0.0.3 error=\"a \\\"b\\\"\"")
+	f.Add("time=")
+	f.Add("time=x \"")
+	f.Fuzz(func(t *testing.T, text string) {
+		line, ok := parseLogLine(text)
+		if ok && line.Time.IsZero() {
+			t.Fatal("a line without a time")
+		}
+		_ = line.text()
+	})
+}
