--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -31,8 +31,11 @@
 // Queue is a writer that never blocks: lines wait in a bounded queue that one goroutine drains.
 // A line that finds the queue full is dropped, counted and reported in the log later.
 type Queue struct {
-	output  io.Writer
-	lines   chan *bytes.Buffer
+	output io.Writer
+	lines  chan *bytes.Buffer
+	// limit bounds waiting, the lines that are taken but not written yet.
+	limit   int64
+	waiting atomic.Int64
 	flushes chan chan struct{}
 	stopped chan struct{}
 	buffers sync.Pool
@@ -41,11 +44,12 @@
 	report     func(dropped uint64) []byte
 }
 
-// NewQueue returns a queue of at most capacity lines. Run drains it to the output.
+// NewQueue returns a queue of at most capacity lines beside the one that is being written. Run drains it to the output.
 func NewQueue(output io.Writer, capacity int) *Queue {
 	return &Queue{
 		output:  output,
-		lines:   make(chan *bytes.Buffer, capacity),
+		lines:   make(chan *bytes.Buffer, capacity+1),
+		limit:   int64(capacity) + 1,
 		flushes: make(chan chan struct{}),
 		stopped: make(chan struct{}),
 		buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
@@ -67,13 +71,14 @@
 	buffer := q.buffers.Get().(*bytes.Buffer)
 	buffer.Reset()
 	buffer.Write(line)
-	select {
-	case q.lines <- buffer:
-	default:
+	if q.waiting.Add(1) > q.limit {
+		q.waiting.Add(-1)
 		q.release(buffer)
 		q.unreported.Add(1)
 		droppedLines.Inc()
+		return len(line), nil
 	}
+	q.lines <- buffer
 	return len(line), nil
 }
 
@@ -130,11 +135,13 @@
 // write writes a line together with those that wait behind it, since each write costs a system call.
 func (q *Queue) write(buffer *bytes.Buffer) {
 	q.reportDropped()
+	count := int64(1)
 	for buffer.Len() < maxBatchBytes {
 		select {
 		case next := <-q.lines:
 			buffer.Write(next.Bytes())
 			q.release(next)
+			count++
 			continue
 		default:
 		}
@@ -143,6 +150,7 @@
 	if _, err := q.output.Write(buffer.Bytes()); err != nil {
 		writeErrors.Inc()
 	}
+	q.waiting.Add(-count)
 	q.release(buffer)
 }
 
