--- a/cmd/clementinectl/history.go
+++ b/cmd/clementinectl/history.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"slices"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 )
 
@@ -126,13 +124,5 @@
 		}
 		return s.printTable(rows)
 	}
-	data, err := json.MarshalIndent(history, "", "  ")
-	if err == nil && s.format == "yaml" {
-		data, err = yaml.JSONToYAML(data)
-	}
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintln(s.output, string(data))
-	return err
+	return s.printValue(history)
 }
--- a/cmd/clementinectl/output.go
+++ b/cmd/clementinectl/output.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"text/tabwriter"
 
@@ -33,6 +34,23 @@
 	return err
 }
 
+// printValue writes a value that does not come from the server, as JSON or YAML.
+func (s *session) printValue(value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	if s.format == "yaml" {
+		if data, err = yaml.JSONToYAML(data); err != nil {
+			return err
+		}
+		_, err = s.output.Write(data)
+		return err
+	}
+	_, err = fmt.Fprintln(s.output, string(data))
+	return err
+}
+
 // encodeJSON returns the JSON form of protobuf with the schema's field names. The library varies its
 // white space on purpose, so the result is indented again.
 func encodeJSON(message proto.Message) ([]byte, error) {
--- a/cmd/clementinectl/replay.go
+++ b/cmd/clementinectl/replay.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 
-	"github.com/goccy/go-yaml"
-
 	"clementineflow/internal/replay"
 )
 
@@ -76,19 +73,7 @@
 	if s.format == "table" {
 		return s.printReplayLines(all)
 	}
-	data, err := json.MarshalIndent(all, "", "  ")
-	if err != nil {
-		return err
-	}
-	if s.format == "yaml" {
-		if data, err = yaml.JSONToYAML(data); err != nil {
-			return err
-		}
-		_, err = s.output.Write(data)
-		return err
-	}
-	_, err = fmt.Fprintln(s.output, string(data))
-	return err
+	return s.printValue(all)
 }
 
 // printReplayLines prints a line for each outcome and the totals at the end.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,12 +44,17 @@
 	Logger      *log.Logger
 }
 
-// Coordinator answers questions that only the coordinator can answer.
-type Coordinator interface {
+// Answers are those that only the coordinator can give.
+type Answers interface {
 	// State returns the state of a job; known is false if the coordinator has not learned of it.
 	State(ctx context.Context, id string) (state job.State, known bool, err error)
 	// Waiting returns the number of jobs of the queue of which no task has started.
 	Waiting(ctx context.Context, queue string) (int, error)
+}
+
+// Coordinator is the coordinator, wherever it runs.
+type Coordinator interface {
+	Answers
 	// Notice tells the coordinator of a job or a cancellation that has just been stored. It does not block.
 	Notice(key string, value []byte)
 }
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -16,9 +16,7 @@
 
 // Local is the coordinator's part of this entry.
 type Local interface {
-	// State and Waiting answer as those of a Coordinator do.
-	State(ctx context.Context, id string) (state job.State, known bool, err error)
-	Waiting(ctx context.Context, queue string) (int, error)
+	Answers
 	// Notice takes in what has just been stored, and reports whether this entry is the coordinator.
 	Notice(key string, value []byte) bool
 	// Leader returns the address of the coordinator, or "", and a channel closed at the next change.
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -107,12 +107,13 @@
 func (p *Planner) waited(c candidate) time.Duration {
 	for index := range c.entry.progress.Steps[c.step] {
 		r := ref{c.entry, c.step, index}
-		if r.task().Phase == job.PhaseWaiting && r.run().waitingSince > 0 {
-			return p.now - r.run().waitingSince
+		if r.task().Phase != job.PhaseWaiting {
+			continue
 		}
-		if r.task().Phase == job.PhaseWaiting {
+		if r.run().waitingSince == 0 {
 			return 0
 		}
+		return p.now - r.run().waitingSince
 	}
 	return 0
 }
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -38,9 +38,14 @@
 
 // allowed reports whether the operator's decisions and the step's own demands allow the worker.
 func (p *Planner) allowed(e *entry, step int, a *agent) bool {
+	return p.allowedBy(p.service(e), &e.spec.Steps[step], a)
+}
+
+// allowedBy is allowed for a caller that looks at many workers and has the service of the job's queue.
+func (p *Planner) allowedBy(service string, definition *job.Step, a *agent) bool {
 	_, out := p.operator.ZonesOut[a.zone]
 	return a.up && a.ready && !a.leaving && !out &&
-		a.service == p.service(e) && a.hasLabel(e.spec.Steps[step].Label)
+		a.service == service && a.hasLabel(definition.Label)
 }
 
 // idleCPU estimates the processors that neither reserved tasks nor fillers use, in thousandths.
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		a.lookup = p.lookup
-		if a.service != service || !p.allowed(e, step, a) || p.now < a.penaltyEnds || a.suspected(p.now) {
+		if !p.allowedBy(service, definition, a) || p.now < a.penaltyEnds {
 			continue
 		}
 		candidate := option{agent: a, sameStep: counts[a]}
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -39,6 +39,12 @@
 
 // linkedAgent is linked for tests that also need the agent.
 func linkedAgent(t *testing.T, test func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent)) {
+	t.Helper()
+	linkedTo(t, func(*jobworker.Worker) {}, test)
+}
+
+// linkedTo is linkedAgent with something that happens to the worker before its description arrives.
+func linkedTo(t *testing.T, before func(*jobworker.Worker), test func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
@@ -46,6 +52,8 @@
 			ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: quiet{},
 			Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskTime} },
 		})
+		description, _ := w.Describe("north", 1)
+		before(w)
 		agent := runner.New(runner.Config{
 			Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: 5 * time.Second,
 			Now: func() time.Duration { return time.Since(began) + time.Second }, Logger: log.New(io.Discard),
@@ -58,8 +66,9 @@
 		if err := near.Send(&wire.TermHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
 			t.Fatal(err)
 		}
-		description, _ := w.Describe("north", 1)
-		agent.Describe(description)
+		if !agent.Describe(description) {
+			t.Fatal("description refused")
+		}
 		test(is.New(t), near, w, agent)
 		near.Close()
 		cancel()
@@ -151,36 +160,17 @@
 // TestLateReportOfAGoneWorker guards against a restarted agent that takes a delayed status report of a worker
 // that has left for a worker to use.
 func TestLateReportOfAGoneWorker(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		began := time.Now()
-		w := jobworker.New(jobworker.Config{ID: "w", Observer: quiet{}})
-		late, _ := w.Describe("north", 1)
-		w.Crash()
-		agent := runner.New(runner.Config{
-			Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: 5 * time.Second,
-			Now: func() time.Duration { return time.Since(began) + time.Second }, Logger: log.New(io.Discard),
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { agent.Run(ctx); close(done) }()
-		near, far := link.Pipe()
-		go agent.Serve(ctx, far)
-		is.NoErr(near.Send(&wire.TermHello{Term: 1, Fence: 1, Agent: agentName}))
-		is.True(agent.Describe(late))
-		for time.Since(began) < 5*time.Second {
-			message, err := near.Receive()
+	linkedTo(t, (*jobworker.Worker).Crash, func(is *is.I, conn link.Conn, _ *jobworker.Worker, _ *runner.Agent) {
+		for began := time.Now(); time.Since(began) < 5*time.Second; {
+			message, err := conn.Receive()
 			is.NoErr(err)
 			switch message := message.(type) {
 			case *wire.AgentPing:
-				is.NoErr(near.Send(&wire.PingReply{Sequence: message.Sequence}))
+				is.NoErr(conn.Send(&wire.PingReply{Sequence: message.Sequence}))
 			case *wire.AgentReport:
 				is.Equal(message.WorkerID, "") // nothing to place work on
 			}
 		}
-		near.Close()
-		cancel()
-		<-done
 	})
 }
 
