Log the inputs of a job's waits

Cause: the logs told when a run was assigned and ended, but not how long it had waited, what it was expected to take and when its job was due, so that a late job could not be explained from them. Result: builds; no decision reads them.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -135,5 +135,6 @@
 	}
 	p.markDirty(r.entry)
 	r.entry.effects = append(r.entry.effects, effect{start: r, run: task.Run})
-	p.log("task assigned", "task", r.name(), "run", task.Run, "agent", a.name, "config", p.operator.Config.Version)
+	p.log("task assigned", "task", r.name(), "run", task.Run, "agent", a.name, "config", p.operator.Config.Version,
+		"waited_ms", (p.now - since).Milliseconds())
 }
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -45,7 +45,8 @@
 	if checkpoint != "" {
 		task.Checkpoint = checkpoint
 	}
-	p.log("run ended", "task", r.name(), "run", task.Run, "agent", a.name, "outcome", outcome)
+	p.log("run ended", "task", r.name(), "run", task.Run, "agent", a.name, "outcome", outcome,
+		"ran_ms", (p.now - startedAt).Milliseconds(), "estimate_ms", r.definition().Estimate.Milliseconds())
 	if e.progress.State.Final() {
 		return
 	}
--- a/internal/planner/urgency.go
+++ b/internal/planner/urgency.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clementineflow/internal/job"
+	"clementineflow/internal/operatorconfig"
 )
 
 // urgency orders the jobs of one priority. Under overload, serving jobs in the order of arrival makes nearly
@@ -52,7 +53,7 @@
 		return rank{urgency: urgencyStarted}
 	}
 	total, remaining := p.criticalPath(e)
-	objective := queue.Objective + time.Duration(queue.SlackFactor*float64(total))
+	objective := objectiveOf(queue, total)
 	slack := objective - (p.now - e.submittedAt) - remaining
 	late := slack + (lateFactor-1)*objective
 	switch {
@@ -67,6 +68,22 @@
 	}
 }
 
+// objectiveOf returns the target time from submission to end of a job of the queue with a critical path of the
+// given duration.
+func objectiveOf(queue *operatorconfig.Queue, criticalPath time.Duration) time.Duration {
+	return queue.Objective + time.Duration(queue.SlackFactor*float64(criticalPath))
+}
+
+// objective returns the target time from submission to end of a job, or zero if its queue has none.
+func (p *Planner) objective(e *entry) time.Duration {
+	queue, ok := p.operator.Config.Queue(e.spec.Queue)
+	if !ok || e.runsUntilCancelled() || queue.SlackFactor == 0 {
+		return 0
+	}
+	total, _ := p.criticalPath(e)
+	return objectiveOf(queue, total)
+}
+
 // criticalPath returns the expected duration of the longest chain of dependent steps of a job, and that of the
 // longest chain of the remaining work.
 func (p *Planner) criticalPath(e *entry) (total, remaining time.Duration) {
