Trial: least remaining work first among jobs of one level

Hypothesis: of the jobs that can be in time, the one with the least remaining work first (whether it has started or not) lets more quotes end; alone it changes little, since agents pace by pressure, not by job. Change: package urgency holds the rank of a job (priority, level, remaining work); ties go to the newest.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"clementineflow/internal/job"
+	"clementineflow/internal/urgency"
 )
 
 // candidate is a step of a job with waiting tasks.
 type candidate struct {
-	entry    *entry
-	step     int
-	priority int
-	rank     rank
+	entry *entry
+	step  int
+	rank  urgency.Rank
 }
 
 // assign assigns the waiting tasks of ready steps to workers, in the order of compareCandidates.
@@ -41,7 +41,7 @@
 		first := len(result)
 		for step := range e.steps {
 			if e.steps[step].waiting > 0 && e.steps[step].nextChange < upTo && e.ready(step) {
-				result = append(result, candidate{entry: e, step: step, priority: p.priority(e)})
+				result = append(result, candidate{entry: e, step: step})
 			}
 		}
 		if len(result) > first {
@@ -55,7 +55,11 @@
 	return result
 }
 
+// priority returns the operator's priority of the job's queue.
 func (p *Planner) priority(e *entry) int {
+	if p.operator.Config == nil {
+		return 0
+	}
 	if queue, ok := p.operator.Config.Queue(e.spec.Queue); ok {
 		return queue.Priority
 	}
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -5,6 +5,7 @@
 
 	"clementineflow/internal/job"
 	"clementineflow/internal/store"
+	"clementineflow/internal/urgency"
 )
 
 // entry holds the specification, the recorded progress and the runtime state of one job.
@@ -21,7 +22,7 @@
 	// idleSince is the time since which no task of the job is assigned. It is only valid if assigned is 0.
 	idleSince time.Duration
 	// cachedRank is the rank computed at cachedRankAt.
-	cachedRank   rank
+	cachedRank   urgency.Rank
 	cachedRankAt time.Duration
 	// published is the last committed state, which is visible to callers.
 	published job.State
--- a/internal/planner/urgency.go
+++ b/internal/planner/urgency.go
@@ -7,83 +7,89 @@
 
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
-)
-
-// urgency orders the jobs of one priority. Under overload, serving jobs in the order of arrival makes nearly
-// every job late, as each waits until little time is left. Capacity therefore goes to jobs that can still meet
-// their objective: first to those that have started, then to the most recently submitted.
-type urgency uint8
-
-const (
-	// urgencyStarted is a job that has started and can meet its objective, or a job without an objective.
-	urgencyStarted urgency = iota
-	// urgencyInTime is a job that has not started and can meet its objective.
-	urgencyInTime
-	// urgencyLate is a job that can no longer meet its objective, but can end within lateFactor times it.
-	urgencyLate
-	// urgencyOverdue is any other job.
-	urgencyOverdue
+	"clementineflow/internal/urgency"
 )
 
 // lateFactor is the multiple of its objective within which the result of a late job is still useful.
 const lateFactor = 3
 
-// rank orders a candidate among those of its priority.
-type rank struct {
-	urgency urgency
-	// slack is by how much the job can be delayed and still meet the bound of its urgency.
-	slack time.Duration
-}
-
 // maxRankAge is how long the rank of a job is cached.
 const maxRankAge = 50 * time.Millisecond
 
+// milliPerCore converts thousandths of a core to cores.
+const milliPerCore = 1000
+
 // currentRank returns the rank of a job, which may be cached for up to maxRankAge.
-func (p *Planner) currentRank(e *entry) rank {
+func (p *Planner) currentRank(e *entry) urgency.Rank {
 	if e.cachedRankAt == 0 || p.now-e.cachedRankAt >= maxRankAge {
 		e.cachedRank, e.cachedRankAt = p.computeRank(e), p.now
 	}
 	return e.cachedRank
 }
 
-// computeRank returns the rank of a job at the current time.
-func (p *Planner) computeRank(e *entry) rank {
-	queue, ok := p.operator.Config.Queue(e.spec.Queue)
-	if !ok || e.runsUntilCancelled() || queue.SlackFactor == 0 {
-		return rank{urgency: urgencyStarted}
-	}
-	total, remaining := p.criticalPath(e)
-	objective := objectiveOf(queue, total)
-	slack := objective - (p.now - e.submittedAt) - remaining
-	late := slack + (lateFactor-1)*objective
-	switch {
-	case slack >= 0 && e.hasStarted:
-		return rank{urgencyStarted, slack}
-	case slack >= 0:
-		return rank{urgencyInTime, slack}
-	case late >= 0:
-		return rank{urgencyLate, late}
-	default:
-		return rank{urgency: urgencyOverdue}
+// computeRank returns the rank of a job at the current time. Jobs without an objective come first.
+func (p *Planner) computeRank(e *entry) urgency.Rank {
+	rank := urgency.Rank{Priority: p.priority(e), Level: urgency.InTime}
+	if deadline := p.deadline(e); deadline != (urgency.Deadline{}) {
+		_, remaining := p.criticalPath(e)
+		rank.Level, rank.Work = deadline.Level(p.now+remaining), p.remainingWork(e)
 	}
+	return rank
 }
 
-// objectiveOf returns the target time from submission to end of a job of the queue with a critical path of the
-// given duration.
-func objectiveOf(queue *operatorconfig.Queue, criticalPath time.Duration) time.Duration {
-	return queue.Objective + time.Duration(queue.SlackFactor*float64(criticalPath))
+// deadline returns the times by which a job has to end.
+func (p *Planner) deadline(e *entry) urgency.Deadline {
+	objective := p.objective(e)
+	if objective == 0 {
+		return urgency.Deadline{}
+	}
+	return urgency.Deadline{InTime: e.submittedAt + objective, Useful: e.submittedAt + lateFactor*objective}
 }
 
-// objective returns the target time from submission to end of a job, or zero if its queue has none.
+// objective returns the target time from submission to end of a job, or zero if it has none.
 func (p *Planner) objective(e *entry) time.Duration {
+	if p.operator.Config == nil || e.runsUntilCancelled() {
+		return 0
+	}
 	queue, ok := p.operator.Config.Queue(e.spec.Queue)
-	if !ok || e.runsUntilCancelled() || queue.SlackFactor == 0 {
+	if !ok || queue.SlackFactor == 0 {
 		return 0
 	}
 	total, _ := p.criticalPath(e)
 	return objectiveOf(queue, total)
 }
 
+// objectiveOf returns the target time from submission to end of a job of the queue with a critical path of the
+// given duration.
+func objectiveOf(queue *operatorconfig.Queue, criticalPath time.Duration) time.Duration {
+	return queue.Objective + time.Duration(queue.SlackFactor*float64(criticalPath))
+}
+
+// remainingWork returns the expected processor time of the open tasks of a job.
+func (p *Planner) remainingWork(e *entry) time.Duration {
+	total := 0.0
+	for step := range e.spec.Steps {
+		definition := &e.spec.Steps[step]
+		expected := float64(p.durations.expected(e.spec.Queue, definition.Estimate))
+		total += expected * e.openTasks(step) * float64(definition.Need.MilliCPU) / milliPerCore
+	}
+	return time.Duration(total)
+}
+
+// openTasks returns the sum of the remaining shares of work of the step's tasks.
+func (e *entry) openTasks(step int) float64 {
+	open := 0.0
+	for index := range e.progress.Steps[step] {
+		switch e.progress.Steps[step][index].Phase {
+		case job.PhaseWaiting:
+			open++
+		case job.PhaseAssigned:
+			open += 1 - float64(e.runs[step][index].percent)/fullPercent
+		}
+	}
+	return open
+}
+
 // criticalPath returns the expected duration of the longest chain of dependent steps of a job, and that of the
 // longest chain of the remaining work.
 func (p *Planner) criticalPath(e *entry) (total, remaining time.Duration) {
@@ -123,20 +129,11 @@
 	return slices.ContainsFunc(e.spec.Steps, func(step job.Step) bool { return step.LongRunning })
 }
 
-// compareCandidates orders candidates by priority, urgency and time of submission.
+// compareCandidates orders candidates by rank. Of equal jobs the newest comes first: under overload, the oldest
+// have the least time left and would end late.
 func compareCandidates(x, y candidate) int {
 	return cmp.Or(
-		cmp.Compare(x.priority, y.priority),
-		cmp.Compare(x.rank.urgency, y.rank.urgency),
-		compareWithinUrgency(x, y),
+		x.rank.Compare(y.rank),
+		cmp.Compare(y.entry.submittedAt, x.entry.submittedAt),
 	)
 }
-
-// compareWithinUrgency orders candidates of one urgency by the time of submission: the newest first for
-// urgencyInTime, otherwise the oldest first.
-func compareWithinUrgency(x, y candidate) int {
-	if x.rank.urgency == urgencyInTime {
-		return cmp.Compare(y.entry.submittedAt, x.entry.submittedAt)
-	}
-	return cmp.Compare(x.entry.submittedAt, y.entry.submittedAt)
-}
