--- a/internal/planner/consistency_test.go
+++ b/internal/planner/consistency_test.go
@@ -124,49 +124,29 @@
 // checkWorker compares the sums of one worker with its runs.
 func checkWorker(t *rapid.T, p *Planner, a *agent) {
 	fresh := &agent{capacity: a.capacity}
-	for r := range p.runsByIncarnation[a.incarnation] {
-		fresh.reserve(r.definition(), 1)
-	}
-	if fresh.reserved != a.reserved || fresh.fillerCPU != a.fillerCPU || fresh.servingCPU != a.servingCPU {
-		t.Fatalf("worker %s reserves %+v, its runs need %+v", a.name, a.reserved, fresh.reserved)
-	}
-	if a.connected && !a.reserved.FitsIn(a.capacity) {
-		t.Fatalf("worker %s is overcommitted: %+v of %+v", a.name, a.reserved, a.capacity)
-	}
-	a.neighbours.stale = true
-	for _, e := range p.active {
-		for step := range e.spec.Steps {
-			if task := (ref{e, step, noIndex}); e.spec.Steps[step].Filler {
-				checkHeadroom(t, p, task, a)
-			}
-		}
-	}
-	for r := range p.runsByIncarnation[a.incarnation] {
-		if r.definition().Filler {
-			checkHeadroom(t, p, r, a)
-		}
-	}
-}
-
-// checkHeadroom compares the headroom of a filler with what the runs on the worker leave to it.
-func checkHeadroom(t *rapid.T, p *Planner, task ref, a *agent) {
 	tightest := usageLimit
 	for serving := range p.runsByIncarnation[a.incarnation] {
+		fresh.reserve(serving.definition(), 1)
 		if serving.definition().LatencyTarget == 0 {
 			continue
 		}
-		image := serving.definition().Image
-		left := usageLimit - serving.run().loadOr(interference.DefaultLoad) - p.pressureOf(image, task.definition(), a)
+		left := usageLimit - serving.run().loadOr(interference.DefaultLoad)
 		for filler := range p.runsByIncarnation[a.incarnation] {
-			before := filler.entry == task.entry || p.currentRank(filler.entry).Compare(p.currentRank(task.entry)) <= 0
-			if filler.definition().Filler && filler != task && before {
-				left -= p.pressureOf(image, filler.definition(), a)
+			if filler.definition().Filler {
+				left -= p.pressureOf(serving.definition().Image, filler.definition(), a)
 			}
 		}
 		tightest = min(tightest, left)
 	}
-	if headroom := p.headroom(task, a); math.Abs(headroom-tightest) > maxRounding {
-		t.Fatalf("worker %s has headroom %f for %s, its runs leave %f", a.name, headroom, task.name(), tightest)
+	if fresh.reserved != a.reserved || fresh.fillerCPU != a.fillerCPU || fresh.servingCPU != a.servingCPU {
+		t.Fatalf("worker %s reserves %+v, its runs need %+v", a.name, a.reserved, fresh.reserved)
+	}
+	if a.connected && !a.reserved.FitsIn(a.capacity) {
+		t.Fatalf("worker %s is overcommitted: %+v of %+v", a.name, a.reserved, a.capacity)
+	}
+	a.neighbours.stale = true
+	if math.Abs(p.currentHeadroom(a)-tightest) > maxRounding {
+		t.Fatalf("worker %s has headroom %f, its runs leave %f", a.name, p.currentHeadroom(a), tightest)
 	}
 }
 
--- a/internal/planner/neighbours.go
+++ b/internal/planner/neighbours.go
@@ -7,28 +7,21 @@
 	"clementineflow/internal/interference"
 )
 
-// neighbours summarizes the runs that share a worker: those with a latency target by image, and the fillers. It is
-// derived from the runs, and recomputed on access if it is stale.
+// neighbours summarizes by image the runs with a latency target on a worker. It is derived from the runs, and
+// recomputed on access if it is stale.
 type neighbours struct {
 	stale   bool
 	serving []servingImage
-	// fillers is empty without runs that have a latency target.
-	fillers []neighbourFiller
 }
 
 // servingImage summarizes the runs of one image with a latency target on a worker.
 type servingImage struct {
 	image string
-	// left is the share of the shared resource that the most loaded of these runs leaves to fillers.
+	// left is the share of the shared resource that the most loaded of these runs has left beside the fillers
+	// on the worker. It is negative if fillers have to be throttled.
 	left float64
 }
 
-// neighbourFiller is a filler on a worker with its expected pressures on the serving images, in their order.
-type neighbourFiller struct {
-	run       ref
-	pressures []float64
-}
-
 // neighboursOf returns the up-to-date neighbours of the agent's worker.
 func (p *Planner) neighboursOf(a *agent) *neighbours {
 	if a.neighbours.stale {
@@ -42,7 +35,6 @@
 	n := &a.neighbours
 	n.stale = false
 	n.serving = n.serving[:0]
-	n.fillers = n.fillers[:0]
 	for r := range p.runsByIncarnation[a.incarnation] {
 		if r.definition().LatencyTarget > 0 {
 			n.addServing(r.definition().Image, usageLimit-r.run().loadOr(interference.DefaultLoad))
@@ -53,20 +45,13 @@
 	}
 	slices.SortFunc(n.serving, func(x, y servingImage) int { return cmp.Compare(x.image, y.image) })
 	for r := range p.runsByIncarnation[a.incarnation] {
-		if r.definition().Filler {
-			n.fillers = append(n.fillers, p.neighbourFiller(r, a))
+		if !r.definition().Filler {
+			continue
+		}
+		for i := range n.serving {
+			n.serving[i].left -= p.pressureOf(n.serving[i].image, r.definition(), a)
 		}
 	}
-	slices.SortFunc(n.fillers, func(x, y neighbourFiller) int { return compareRefs(x.run, y.run) })
-}
-
-// neighbourFiller returns a filler with its pressures on the serving images of the worker.
-func (p *Planner) neighbourFiller(r ref, a *agent) neighbourFiller {
-	filler := neighbourFiller{run: r, pressures: make([]float64, len(a.neighbours.serving))}
-	for i := range a.neighbours.serving {
-		filler.pressures[i] = p.pressureOf(a.neighbours.serving[i].image, r.definition(), a)
-	}
-	return filler
 }
 
 // addServing adds a run of the image that has the given share of the resource left.
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -2,9 +2,6 @@
 
 import "clementineflow/internal/job"
 
-// noIndex is the index of any task of a step that is not assigned yet.
-const noIndex = -1
-
 // option is a worker on which a task of a step may be placed.
 type option struct {
 	agent *agent
@@ -78,7 +75,7 @@
 		return false
 	}
 	if definition.Filler {
-		candidate.headroom = o.planner.headroom(ref{o.entry, o.step, noIndex}, a)
+		candidate.headroom = o.planner.headroom(definition, a)
 	}
 	candidate.score = o.planner.score(definition, a, candidate.headroom)
 	return true
--- a/internal/planner/sharing.go
+++ b/internal/planner/sharing.go
@@ -40,29 +40,23 @@
 }
 
 // headroom returns the share of the shared resource that the most constrained run with a latency target on the
-// worker would have left beside the task, if it is a filler, and the fillers there that come before it. It is
-// negative if the task would be throttled.
-func (p *Planner) headroom(task ref, a *agent) float64 {
-	n := p.neighboursOf(a)
+// worker would have left beside one more filler of the step. It is negative if the filler would be throttled.
+func (p *Planner) headroom(filler *job.Step, a *agent) float64 {
 	tightest := usageLimit
-	for i := range n.serving {
-		left := n.serving[i].left - p.pressureOf(n.serving[i].image, task.definition(), a)
-		for j := range n.fillers {
-			if p.precedes(n.fillers[j].run, task) {
-				left -= n.fillers[j].pressures[i]
-			}
-		}
-		tightest = min(tightest, left)
+	for _, serving := range p.neighboursOf(a).serving {
+		tightest = min(tightest, serving.left-p.pressureOf(serving.image, filler, a))
 	}
 	return tightest
 }
 
-// precedes reports whether a filler gets room before the task where there is not enough for both.
-func (p *Planner) precedes(filler, task ref) bool {
-	if filler.entry == task.entry {
-		return filler != task
+// currentHeadroom returns the share of the shared resource that the most constrained run with a latency target
+// on the worker has left beside the fillers there.
+func (p *Planner) currentHeadroom(a *agent) float64 {
+	tightest := usageLimit
+	for _, serving := range p.neighboursOf(a).serving {
+		tightest = min(tightest, serving.left)
 	}
-	return p.currentRank(filler.entry).Compare(p.currentRank(task.entry)) <= 0
+	return tightest
 }
 
 // pressureOf returns the expected pressure of a filler on runs of an image on the agent's worker.
@@ -99,7 +93,7 @@
 		return
 	}
 	better := p.optionsFor(r.entry, r.step, p.workers, false).best(r)
-	if better == nil || better.agent == a || better.headroom < p.headroom(r, a)+minMoveGain {
+	if better == nil || better.agent == a || better.headroom < p.currentHeadroom(a)+minMoveGain {
 		return
 	}
 	p.log("moving throttled filler", "task", row.Task, "from", a.name, "to_about", better.agent.name, "held_ms", row.DurationMillis)
