--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -184,16 +184,17 @@
 	current.ordered = true
 	current.orderAt = p.now
 	r.entry.hasStarted = true
-	order := &wire.StartRun{
-		Task: r.name(), Run: task.Run, WorkerID: task.Worker.ID, Incarnation: task.Worker.Incarnation,
+	var pressures []wire.PressureRow
+	if a := p.agents[task.Worker.Agent]; definition.Filler && a != nil {
+		pressures = p.pressureRows(r, a)
+	}
+	p.orders = append(p.orders, Order{Agent: task.Worker.Agent, Message: &wire.StartRun{
+		Pressures: pressures,
+		Task:      r.name(), Run: task.Run, WorkerID: task.Worker.ID, Incarnation: task.Worker.Incarnation,
 		Payload: r.entry.spec.Payload, Checkpoint: task.Checkpoint,
 		Filler: definition.Filler, Image: definition.Image, MilliCPU: definition.Need.MilliCPU,
 		LatencyTargetMillis: definition.LatencyTarget.Milliseconds(),
-	}
-	if a := p.agents[task.Worker.Agent]; definition.Filler && a != nil {
-		order.Pressures, order.Urgency = p.pressureRows(r, a), p.runUrgency(r)
-	}
-	p.orders = append(p.orders, Order{Agent: task.Worker.Agent, Message: order})
+	}})
 }
 
 // sendStop sends the stop order of a run that may exist on its worker.
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -10,7 +10,6 @@
 
 	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
-	"clementineflow/internal/urgency"
 	"clementineflow/internal/wire"
 )
 
@@ -90,8 +89,6 @@
 	measurement int64
 	// startOrder is nil if the agent found the run on the worker and has got no order for it.
 	startOrder *wire.StartRun
-	// deadline holds the times by which the run has to end, from its start order.
-	deadline urgency.Deadline
 	// startedAt is the worker's clock at its confirmation of the start.
 	startedAt time.Duration
 }
--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"clementineflow/internal/interference"
-	"clementineflow/internal/urgency"
 )
 
 const (
@@ -58,8 +57,6 @@
 	task  string
 	run   uint32
 	image string
-	// rank orders the run among the fillers of the worker.
-	rank urgency.Rank
 	// partsAtFullPace is the run's use of processors at full pace, partsUsed its latest measured use, both in
 	// parts of the worker as returned by interference.Parts.
 	partsAtFullPace float64
@@ -78,7 +75,7 @@
 
 // pacer sets how fast fillers work beside runs with a latency target. It learns the pressure of each filler
 // image on each serving image, and lets fillers work as far as all targets are expected to be kept, those
-// of the first jobs by rank first. It reads no clock: callers pass the time.
+// with the least pressure first. It reads no clock: callers pass the time.
 type pacer struct {
 	model         *interference.PressureModel
 	paces         map[string]*fillerPace
@@ -154,8 +151,7 @@
 }
 
 // allocatePaces sets the pace of each filler so that all serving runs are expected to keep their targets.
-// Fillers of the first jobs by rank come first. Within a job those with the least pressure come first; the longer
-// a filler is held back, the earlier it comes.
+// Fillers with the least pressure come first; the longer a filler is held back, the earlier it comes.
 func (p *pacer) allocatePaces(now time.Duration, serving []servingRun, fillers []fillerRun) {
 	pauseAll := false
 	p.headrooms = p.headrooms[:0]
@@ -172,9 +168,7 @@
 	for _, filler := range fillers {
 		sortKeys[filler.task] = p.maxPressure(filler) / (1 + float64(p.heldBackFor(filler.task, now))/float64(priorityDoublingTime))
 	}
-	slices.SortStableFunc(ordered, func(x, y fillerRun) int {
-		return cmp.Or(x.rank.Compare(y.rank), cmp.Compare(sortKeys[x.task], sortKeys[y.task]))
-	})
+	slices.SortStableFunc(ordered, func(x, y fillerRun) int { return cmp.Compare(sortKeys[x.task], sortKeys[y.task]) })
 	for _, filler := range ordered {
 		percent := p.affordablePercent(filler)
 		if pauseAll {
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"clementineflow/internal/interference"
 	"clementineflow/internal/wire"
@@ -43,7 +42,7 @@
 		a.mu.Unlock()
 		return
 	}
-	filler := local.asFiller(a.worker.Capacity.MilliCPU, a.config.Now())
+	filler := local.asFiller(a.worker.Capacity.MilliCPU)
 	a.pacer.admitFiller(a.config.Now(), filler)
 	changes := a.pacer.takeChanges([]fillerRun{filler})
 	target := a.targetLocked()
@@ -52,9 +51,8 @@
 }
 
 // asFiller returns the run as a filler on a worker with the given capacity in thousandths of a processor.
-func (l *localRun) asFiller(capacity int64, now time.Duration) fillerRun {
+func (l *localRun) asFiller(capacity int64) fillerRun {
 	return fillerRun{
-		rank: l.rank(now),
 		task: l.task, run: l.run, image: l.startOrder.Image,
 		partsAtFullPace: interference.Parts(l.startOrder.MilliCPU, capacity), partsUsed: interference.Parts(l.measurement, capacity),
 	}
@@ -81,7 +79,7 @@
 	var fillers []fillerRun
 	for _, local := range a.runs {
 		if local.startOrder != nil && local.startOrder.Filler && local.startConfirmed && !local.stopRequested {
-			fillers = append(fillers, local.asFiller(a.worker.Capacity.MilliCPU, a.config.Now()))
+			fillers = append(fillers, local.asFiller(a.worker.Capacity.MilliCPU))
 		}
 	}
 	slices.SortFunc(fillers, func(x, y fillerRun) int { return cmp.Compare(x.task, y.task) })
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -29,7 +29,7 @@
 func (a *Agent) handleStartLocked(order *wire.StartRun) {
 	if local := a.runs[order.Task]; local != nil && local.run >= order.Run {
 		if local.run == order.Run && local.startOrder == nil {
-			local.adoptOrder(order, a.config.Now())
+			local.startOrder = order
 		}
 		return
 	}
@@ -50,8 +50,7 @@
 		return
 	}
 	a.pacer.adoptPressures(order.Pressures)
-	local := &localRun{task: order.Task, run: order.Run}
-	local.adoptOrder(order, a.config.Now())
+	local := &localRun{task: order.Task, run: order.Run, startOrder: order}
 	a.runs[order.Task] = local
 	issuedAt, _ := a.pings.sentAt(order.LastPing)
 	a.goroutines.Go(func() { a.startWithRetries(a.baseCtx, local, issuedAt+maxOrderAge) })
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -147,24 +147,6 @@
 	MilliCPU int64 `cbor:"11,keyasint,omitempty"`
 	// Pressures holds the estimated interference of a filler with the runs on the worker.
 	Pressures []PressureRow `cbor:"12,keyasint,omitempty"`
-	// Urgency orders the run among the fillers of the worker. It is nil from a coordinator that does not tell it.
-	Urgency *RunUrgency `cbor:"13,keyasint,omitempty"`
-}
-
-// RunUrgency tells when a run should end and how much work its job has left. The times count from the sending of
-// the message.
-type RunUrgency struct {
-	_        struct{} `cbor:",toarray"`
-	Priority int
-	// Timed is set if the job has an objective. The run has to end within InTimeMillis for its job to meet it,
-	// and within UsefulMillis for its job to be of use. Both may be negative.
-	Timed        bool
-	InTimeMillis int64
-	UsefulMillis int64
-	// ExpectedMillis is the expected duration of the whole task at full pace.
-	ExpectedMillis int64
-	// WorkMillis is the expected remaining processor time of the job.
-	WorkMillis int64
 }
 
 // Kind implements Message.
