clementinectl losses: why jobs were not in time

Cause: after a bad hour an operator could follow one job, but not see what the late jobs of a queue had spent their time on. Change: package losses follows each job along the tasks that ended last (accepted, waiting, running, slower than expected, runs that did not count) and sums the late jobs by queue; the command reads logs as history does. A line that lacks a field ends it with the line's place.

--- a/cmd/clementinectl/commandline.go
+++ b/cmd/clementinectl/commandline.go
@@ -20,6 +20,7 @@
 	Workers     workersCommand     `cmd:"" help:"List workers."`
 	Entries     entriesCommand     `cmd:"" help:"List entries."`
 	History     historyCommand     `cmd:"" help:"Show what the daemons' logs say about a job or task, in order; needs no server."`
+	Losses      lossesCommand      `cmd:"" help:"Show from the daemons' logs why jobs were not in time; needs no server."`
 	Replay      replayCommand      `cmd:"" help:"Replay recorded traces and check their stated outcomes; needs no server."`
 	Completion  completionCommand  `cmd:"" help:"Print a completion script for bash."`
 	Version     versionCommand     `cmd:"" help:"Print the version."`
--- a/cmd/clementinectl/history.go
+++ b/cmd/clementinectl/history.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"os"
 	"slices"
 	"time"
@@ -11,21 +9,16 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// historyMargin is how long before the first and after the last line of a job changes of the coordinator
-	// are shown.
-	historyMargin = 2 * time.Second
-	// maxLogLineBytes bounds one line of a log; longer ones end the reading with an error.
-	maxLogLineBytes = 1 << 20
-)
+// historyMargin is how long before the first and after the last line of a job changes of the coordinator are shown.
+const historyMargin = 2 * time.Second
 
 // coordinatorMessages are the lines about the coordinator that explain gaps in the history of a job.
 var coordinatorMessages = []string{"elected coordinator", "term ended", "handing over to a stronger entry"}
 
 // historyCommand reads logs and shows what was decided about one job or task.
 type historyCommand struct {
-	ID    string   `arg:"" help:"Id of a job, or name of one of its tasks."`
-	Files []string `arg:"" optional:"" name:"file" type:"existingfile" help:"Log files of any processes; standard input without them."`
+	ID string `arg:"" help:"Id of a job, or name of one of its tasks."`
+	logFiles
 }
 
 // Help returns the examples.
@@ -48,40 +41,6 @@
 	return s.printHistory(history)
 }
 
-// read returns the lines of all files, or of the input if there are none.
-func (c *historyCommand) read(input io.Reader) ([]logLine, error) {
-	if len(c.Files) == 0 {
-		return readLog(input, "standard input")
-	}
-	var lines []logLine
-	for _, name := range c.Files {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, &exitError{code: exitUsage, cause: err}
-		}
-		read, err := readLog(file, name)
-		_ = file.Close()
-		if err != nil {
-			return nil, err
-		}
-		lines = append(lines, read...)
-	}
-	return lines, nil
-}
-
-// readLog returns the lines of one log. What is not a line of a daemon's log is left out.
-func readLog(input io.Reader, name string) ([]logLine, error) {
-	var lines []logLine
-	scanner := bufio.NewScanner(input)
-	scanner.Buffer(nil, maxLogLineBytes)
-	for scanner.Scan() {
-		if line, ok := parseLogLine(scanner.Text()); ok {
-			lines = append(lines, line)
-		}
-	}
-	return lines, errors.Wrap(scanner.Err(), name)
-}
-
 // selectHistory returns the lines about the id and the changes of the coordinator around them, by time.
 func selectHistory(lines []logLine, id string) []logLine {
 	var first, last time.Time
--- a/cmd/clementinectl/history_test.go
+++ b/cmd/clementinectl/history_test.go
@@ -47,6 +47,39 @@
 	is.True(strings.Contains(messages, "ffffffffffffffff"))
 }
 
+// TestLosses guards against a table from logs that lack its inputs, and against lines of several processes that are
+// not brought in order.
+func TestLosses(t *testing.T) {
+	is := is.New(t)
+	late := `time=2026-09-26T14:00:03Z level=info msg="run ended" task=aa.0.0.0 run=1 agent=x outcome=done estimate_ms=1000
+time=2026-09-26T14:00:03Z level=info msg="job ended" job=aa state=done objective_ms=2000
+`
+	early := `time=2026-09-26T14:00:00Z level=info msg="job accepted" job=aa queue=q age_ms=0
+time=2026-09-26T14:00:01Z level=info msg="task assigned" task=aa.0.0.0 run=1 agent=x
+`
+	name := filepath.Join(t.TempDir(), "all.log")
+	is.NoErr(os.WriteFile(name, []byte(late+early), 0o600))
+	code, output, _ := execute(t, "127.0.0.1:1", "losses "+name)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(strings.Join(strings.Fields(output), " "), "running slower than expected 1.0"))
+	code, output, _ = execute(t, "127.0.0.1:1", "losses --job aa "+name)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(output, "late: objective 2s"))
+	code, _, messages := execute(t, "127.0.0.1:1", "losses --job bb "+name)
+	is.Equal(code, exitNotFound)
+	is.True(strings.Contains(messages, "bb"))
+
+	is.NoErr(os.WriteFile(name, []byte(strings.ReplaceAll(early+late, " age_ms=0", "")), 0o600))
+	code, output, messages = execute(t, "127.0.0.1:1", "losses "+name)
+	is.Equal(code, exitUsage)
+	is.Equal(output, "")
+	is.True(strings.Contains(messages, "all.log:1"))
+	is.True(strings.Contains(messages, "age_ms"))
+	is.NoErr(os.WriteFile(name, []byte("another program's line\n"), 0o600))
+	code, _, _ = execute(t, "127.0.0.1:1", "losses "+name)
+	is.Equal(code, exitUsage)
+}
+
 // FuzzParseLogLine guards against a line that ends the reading of a log.
 func FuzzParseLogLine(f *testing.F) {
 	f.Add("front-1 | time=2026-07-13T06:07:02.62643027Z level=info msg=\"run ended\" task=a.0.0.3 error=\"a \\\"b\\\"\"")
--- a/cmd/clementinectl/logline.go
+++ b/cmd/clementinectl/logline.go
@@ -21,6 +21,8 @@
 	Level   string     `json:"level" yaml:"level"`
 	Message string     `json:"message" yaml:"message"`
 	Fields  []logField `json:"fields" yaml:"fields"`
+	// source is the file and the number of the line, for error messages.
+	source string
 }
 
 // timeKey begins each line of a daemon's log.
--- /dev/null
+++ b/cmd/clementinectl/losses.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/losses"
+)
+
+// lossesCommand reads logs and shows why jobs were not in time.
+type lossesCommand struct {
+	Job string `help:"Show the waits and runs of this job instead of the sums."`
+	logFiles
+}
+
+// Help returns the examples.
+func (c *lossesCommand) Help() string {
+	return "Examples:\n  clementinectl losses front-*.log\n  clementinectl losses --job 53b93f7611125713 front-*.log"
+}
+
+// Run prints the sums by queue, or the waits and runs of one job.
+func (c *lossesCommand) Run(s *session) error {
+	lines, err := c.read(os.Stdin)
+	if err != nil {
+		return err
+	}
+	collector, err := collectLosses(lines)
+	if err != nil {
+		return &exitError{code: exitUsage, cause: err}
+	}
+	if c.Job == "" {
+		return s.printLosses(collector.Summary())
+	}
+	job, err := collector.Job(c.Job)
+	if err != nil {
+		return &exitError{code: exitNotFound, cause: err}
+	}
+	return s.printChain(job)
+}
+
+// collectLosses gathers the jobs from the lines, which may be of several processes one after the other.
+func collectLosses(lines []logLine) (*losses.Collector, error) {
+	if len(lines) == 0 {
+		return nil, errors.New("no line of the input is one of a daemon's log")
+	}
+	slices.SortStableFunc(lines, func(x, y logLine) int { return x.Time.Compare(y.Time) })
+	collector := losses.NewCollector()
+	for i := range lines {
+		if err := collector.Add(lines[i].lossesLine()); err != nil {
+			return nil, err
+		}
+	}
+	return collector, nil
+}
+
+// lossesLine returns the line as package losses reads it.
+func (l *logLine) lossesLine() *losses.Line {
+	fields := make(map[string]string, len(l.Fields))
+	for _, field := range l.Fields {
+		fields[field.Key] = field.Value
+	}
+	return &losses.Line{Source: l.source, Time: l.Time, Message: l.Message, Fields: fields}
+}
+
+// printLosses writes the sums in the selected format.
+func (s *session) printLosses(summary losses.Summary) error {
+	if s.format != "table" {
+		return s.printValue(summary)
+	}
+	if err := s.printTable(resultRows(summary)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(s.output); err != nil {
+		return err
+	}
+	return s.printTable(causeRows(summary))
+}
+
+// resultRows returns a row with the number of jobs by result for each queue, and one for each reason of a refusal.
+func resultRows(summary losses.Summary) table {
+	header := []string{"QUEUE", "JOBS"}
+	for _, result := range losses.Results() {
+		header = append(header, string(result))
+	}
+	rows := table{header}
+	for _, queue := range summary.Queues {
+		row := []string{queue.Queue, strconv.Itoa(queue.Jobs)}
+		for _, result := range losses.Results() {
+			row = append(row, strconv.Itoa(queue.Results[result]))
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// causeRows returns, for each queue, the seconds that its late and overdue jobs spent on each cause; then what was not
+// accepted, and the jobs that are left out.
+func causeRows(summary losses.Summary) table {
+	header := []string{"SECONDS OF LATE JOBS"}
+	for _, queue := range summary.Queues {
+		header = append(header, queue.Queue)
+	}
+	rows := table{header}
+	for _, cause := range losses.Causes() {
+		row := []string{string(cause)}
+		for _, queue := range summary.Queues {
+			row = append(row, fmt.Sprintf("%.1f", queue.Spent[cause].Seconds()))
+		}
+		rows = append(rows, row)
+	}
+	for _, reason := range sortedKeys(summary.Refusals) {
+		rows = append(rows, []string{"not accepted: " + reason, strconv.Itoa(summary.Refusals[reason])})
+	}
+	if summary.WithoutAcceptance > 0 {
+		rows = append(rows, []string{"left out, accepted before the logs", strconv.Itoa(summary.WithoutAcceptance)})
+	}
+	return rows
+}
+
+// sortedKeys returns the keys of the counts in order.
+func sortedKeys(counts map[string]int) []string {
+	keys := make([]string, 0, len(counts))
+	for key := range counts {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// printChain writes the waits and runs of a job in the selected format.
+func (s *session) printChain(job *losses.Job) error {
+	chain := job.Chain()
+	if s.format != "table" {
+		return s.printValue(chain)
+	}
+	rows := table{{"SINCE SUBMISSION", "FOR", "CAUSE", "TASK", "RUN", "AGENT"}}
+	for _, segment := range chain {
+		rows = append(rows, []string{
+			fmt.Sprintf("%+.3f s", segment.From.Sub(job.Submitted).Seconds()), fmt.Sprintf("%.3f s", segment.For.Seconds()),
+			string(segment.Cause), dash(segment.Task), strconv.Itoa(segment.Run), dash(segment.Agent),
+		})
+	}
+	if err := s.printTable(rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(s.output, "%s: objective %s\n", job.Result(), job.Objective)
+	return err
+}
--- /dev/null
+++ b/internal/losses/chain.go
@@ -0,0 +1,113 @@
+package losses
+
+import (
+	"slices"
+	"time"
+)
+
+// Segment is a part of a job's duration that was spent on one cause.
+type Segment struct {
+	From  time.Time     `json:"from" yaml:"from"`
+	For   time.Duration `json:"for" yaml:"for"`
+	Cause Cause         `json:"cause" yaml:"cause"`
+	// Task, Run and Agent name the run; they are empty for CauseAccepting.
+	Task  string `json:"task,omitempty" yaml:"task,omitempty"`
+	Run   int    `json:"run,omitempty" yaml:"run,omitempty"`
+	Agent string `json:"agent,omitempty" yaml:"agent,omitempty"`
+}
+
+// Chain returns how the job's time was spent, in order, along the tasks that ended last: the last end of the job, the
+// runs of its task, the last end among the steps before it, and so on. It is empty for a job that is not done.
+func (j *Job) Chain() []Segment {
+	if j.State != "done" {
+		return nil
+	}
+	var chain []Segment
+	for task := j.lastDone(j.Ended, anyStep); task != ""; {
+		first := j.tasks[task][0]
+		earlier := j.lastDone(first.assigned, first.step)
+		ready := j.Accepted
+		if earlier != "" {
+			ready = j.end(earlier)
+		}
+		chain = append(chain, j.taskSegments(task, ready)...)
+		task = earlier
+	}
+	chain = appendSegment(chain, Segment{From: j.Submitted, For: duration(j.Submitted, j.Accepted), Cause: CauseAccepting})
+	slices.Reverse(chain)
+	return chain
+}
+
+// taskSegments returns the segments of the runs of a task that was ready at the given time, the last one first.
+func (j *Job) taskSegments(task string, ready time.Time) []Segment {
+	var segments []Segment
+	runs := j.tasks[task]
+	for i := len(runs) - 1; i >= 0; i-- {
+		r := runs[i]
+		segments = append(segments, r.segments(task)...)
+		since := ready
+		if i > 0 {
+			since = runs[i-1].ended
+		}
+		if since.IsZero() {
+			continue // The end of the run before is not in the logs.
+		}
+		segments = appendSegment(segments, Segment{
+			From: since, For: duration(since, r.assigned), Cause: CauseWaiting, Task: task, Run: r.number, Agent: r.agent,
+		})
+	}
+	return segments
+}
+
+// segments returns the segments of one run, the last one first.
+func (r *run) segments(task string) []Segment {
+	ran := duration(r.assigned, r.ended)
+	template := Segment{From: r.assigned, Task: task, Run: r.number, Agent: r.agent}
+	if r.outcome != outcomeDone {
+		template.For, template.Cause = ran, CauseRepeated
+		return appendSegment(nil, template)
+	}
+	expected := min(ran, r.estimate)
+	slow := template
+	slow.From, slow.For, slow.Cause = r.assigned.Add(expected), ran-expected, CauseSlow
+	segments := appendSegment(nil, slow)
+	template.For, template.Cause = expected, CauseRunning
+	return appendSegment(segments, template)
+}
+
+// appendSegment appends a segment unless it has no duration.
+func appendSegment(segments []Segment, s Segment) []Segment {
+	if s.For <= 0 {
+		return segments
+	}
+	return append(segments, s)
+}
+
+// anyStep makes lastDone consider all steps.
+const anyStep = -1
+
+// lastDone returns the task that was done last, but not after the given time, among the steps before the given one or
+// among all with anyStep. It returns "" if there is none.
+func (j *Job) lastDone(until time.Time, beforeStep int) string {
+	last := ""
+	var lastEnd time.Time
+	for task, runs := range j.tasks {
+		end := j.end(task)
+		if end.IsZero() || end.After(until) || beforeStep != anyStep && runs[0].step >= beforeStep {
+			continue
+		}
+		if last == "" || end.After(lastEnd) || end.Equal(lastEnd) && task < last {
+			last, lastEnd = task, end
+		}
+	}
+	return last
+}
+
+// end returns when a task was done, or zero.
+func (j *Job) end(task string) time.Time {
+	runs := j.tasks[task]
+	if last := runs[len(runs)-1]; last.outcome == outcomeDone {
+		return last.ended
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/losses/collector.go
@@ -0,0 +1,210 @@
+package losses
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Collector gathers jobs from log lines. Lines must be added in the order of their times.
+type Collector struct {
+	jobs map[string]*Job
+	// order lists the jobs in the order of their acceptance.
+	order []*Job
+	// unaccepted counts the jobs of which a line tells, but not that they were accepted.
+	unaccepted map[string]bool
+	// refusals counts the submissions that were not accepted, by reason.
+	refusals map[string]int
+}
+
+// NewCollector returns a collector without jobs.
+func NewCollector() *Collector {
+	return &Collector{jobs: map[string]*Job{}, unaccepted: map[string]bool{}, refusals: map[string]int{}}
+}
+
+// Add adds a line. Lines of other messages are ignored. It returns ErrMalformedLine if a line that counts lacks a
+// field or has an invalid one.
+func (c *Collector) Add(line *Line) error {
+	switch line.Message {
+	case "job accepted":
+		return c.addJob(line)
+	case "job not accepted":
+		return c.addRefusal(line)
+	case "task assigned":
+		return c.addRun(line)
+	case "run ended", "run lost", "run is absent":
+		return c.endRun(line)
+	case "job ended":
+		return c.endJob(line)
+	}
+	return nil
+}
+
+// Job returns a job, or ErrUnknownJob.
+func (c *Collector) Job(id string) (*Job, error) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return nil, errors.Wrap(ErrUnknownJob, id)
+	}
+	return j, nil
+}
+
+func (c *Collector) addJob(line *Line) error {
+	id, err := line.text("job")
+	if err != nil || c.jobs[id] != nil {
+		return err
+	}
+	queue, err := line.text("queue")
+	if err != nil {
+		return err
+	}
+	age, err := line.millis("age_ms")
+	if err != nil {
+		return err
+	}
+	j := &Job{ID: id, Queue: queue, Submitted: line.Time.Add(-age), Accepted: line.Time, tasks: map[string][]*run{}}
+	c.jobs[id] = j
+	c.order = append(c.order, j)
+	return nil
+}
+
+func (c *Collector) addRefusal(line *Line) error {
+	reason, err := line.text("reason")
+	if err != nil {
+		return err
+	}
+	c.refusals[reason]++
+	return nil
+}
+
+// taskJob returns the job and the name of the task that a line is about. The job is nil if its acceptance is not in
+// the logs.
+func (c *Collector) taskJob(line *Line) (*Job, string, error) {
+	task, err := line.text("task")
+	if err != nil {
+		return nil, "", err
+	}
+	id, _, found := strings.Cut(task, ".")
+	if !found {
+		return nil, "", errors.Wrapf(ErrMalformedLine, "%s: task=%s is not the name of a task", line.Source, task)
+	}
+	if c.jobs[id] == nil {
+		c.unaccepted[id] = true
+	}
+	return c.jobs[id], task, nil
+}
+
+func (c *Collector) addRun(line *Line) error {
+	j, task, err := c.taskJob(line)
+	if err != nil || j == nil {
+		return err
+	}
+	number, err := runNumber(line)
+	if err != nil {
+		return err
+	}
+	step, err := taskStep(line, task)
+	if err != nil {
+		return err
+	}
+	j.tasks[task] = append(j.tasks[task], &run{
+		step: step, number: number, agent: line.Fields["agent"], assigned: line.Time,
+	})
+	return nil
+}
+
+// runNumber returns the number of the run that a line is about.
+func runNumber(line *Line) (int, error) {
+	text, err := line.text("run")
+	if err != nil {
+		return 0, err
+	}
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, errors.Wrapf(ErrMalformedLine, "%s: run=%s is not a number", line.Source, text)
+	}
+	return number, nil
+}
+
+// taskStepField is the index of the step in the dot-separated name of a task.
+const taskStepField = 2
+
+// taskStep returns the step of a task.
+func taskStep(line *Line, task string) (int, error) {
+	fields := strings.Split(task, ".")
+	if len(fields) > taskStepField {
+		if step, err := strconv.Atoi(fields[taskStepField]); err == nil {
+			return step, nil
+		}
+	}
+	return 0, errors.Wrapf(ErrMalformedLine, "%s: task=%s is not the name of a task", line.Source, task)
+}
+
+// endRun records the end of a run. Agents log ends too, without the name of an agent; those lines are ignored.
+func (c *Collector) endRun(line *Line) error {
+	if _, ok := line.Fields["agent"]; !ok {
+		return nil
+	}
+	j, task, err := c.taskJob(line)
+	if err != nil || j == nil {
+		return err
+	}
+	number, err := runNumber(line)
+	if err != nil {
+		return err
+	}
+	for _, r := range j.tasks[task] {
+		if r.number != number || !r.ended.IsZero() {
+			continue
+		}
+		r.ended, r.outcome = line.Time, line.Message
+		if line.Message == "run ended" {
+			return r.setEnd(line)
+		}
+	}
+	return nil
+}
+
+// setEnd sets the outcome and the expected duration of a run from the line that tells of its end.
+func (r *run) setEnd(line *Line) error {
+	outcome, err := line.text("outcome")
+	if err != nil {
+		return err
+	}
+	estimate, err := line.millis("estimate_ms")
+	if err != nil {
+		return err
+	}
+	r.outcome, r.estimate = outcome, estimate
+	return nil
+}
+
+func (c *Collector) endJob(line *Line) error {
+	id, err := line.text("job")
+	if err != nil {
+		return err
+	}
+	j := c.jobs[id]
+	if j == nil {
+		c.unaccepted[id] = true
+		return nil
+	}
+	if !j.Ended.IsZero() {
+		return nil
+	}
+	objective, err := line.millis("objective_ms")
+	if err != nil {
+		return err
+	}
+	state, err := line.text("state")
+	if err != nil {
+		return err
+	}
+	j.Ended, j.State, j.Objective = line.Time, state, objective
+	return nil
+}
+
+// duration returns the time between two moments, at least zero.
+func duration(from, to time.Time) time.Duration { return max(0, to.Sub(from)) }
--- /dev/null
+++ b/internal/losses/job.go
@@ -0,0 +1,62 @@
+package losses
+
+import "time"
+
+// Job is what the logs tell of one job.
+type Job struct {
+	ID        string
+	Queue     string
+	Submitted time.Time
+	// Accepted is when a coordinator first knew the job.
+	Accepted time.Time
+	// Ended is zero while no end was logged.
+	Ended time.Time
+	// State is the final state, or empty.
+	State string
+	// Objective is the target time from submission to end, or zero if the job has none.
+	Objective time.Duration
+	// tasks holds the runs by task, in the order of their assignment.
+	tasks map[string][]*run
+}
+
+// lateFactor is the multiple of its objective after which a job counts as overdue.
+const lateFactor = 3
+
+// Result is how a job turned out.
+type Result string
+
+// Results of a job.
+const (
+	ResultInTime Result = "in time"
+	ResultLate   Result = "late"
+	// ResultOverdue is a job that ended after lateFactor times its objective.
+	ResultOverdue   Result = "overdue"
+	ResultFailed    Result = "failed"
+	ResultCancelled Result = "cancelled"
+	// ResultOpen is a job whose end is not in the logs.
+	ResultOpen Result = "open"
+)
+
+// Results lists all results in the order in which they are shown.
+func Results() []Result {
+	return []Result{ResultInTime, ResultLate, ResultOverdue, ResultFailed, ResultCancelled, ResultOpen}
+}
+
+// Result returns how the job turned out. A job without an objective that is done is in time.
+func (j *Job) Result() Result {
+	took := j.Ended.Sub(j.Submitted)
+	switch {
+	case j.Ended.IsZero():
+		return ResultOpen
+	case j.State == "failed":
+		return ResultFailed
+	case j.State == "cancelled":
+		return ResultCancelled
+	case j.Objective == 0 || took <= j.Objective:
+		return ResultInTime
+	case took <= lateFactor*j.Objective:
+		return ResultLate
+	default:
+		return ResultOverdue
+	}
+}
--- /dev/null
+++ b/internal/losses/summary.go
@@ -0,0 +1,57 @@
+package losses
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// QueueSummary sums up the jobs of one queue.
+type QueueSummary struct {
+	Queue   string         `json:"queue" yaml:"queue"`
+	Jobs    int            `json:"jobs" yaml:"jobs"`
+	Results map[Result]int `json:"results" yaml:"results"`
+	// Spent is what the late and overdue jobs spent their time on.
+	Spent map[Cause]time.Duration `json:"spent" yaml:"spent"`
+}
+
+// Summary sums up all jobs.
+type Summary struct {
+	Queues []QueueSummary `json:"queues" yaml:"queues"`
+	// Refusals counts the submissions that were not accepted, by reason.
+	Refusals map[string]int `json:"refusals" yaml:"refusals"`
+	// WithoutAcceptance is the number of jobs that began before the logs, which are left out.
+	WithoutAcceptance int `json:"without_acceptance" yaml:"without_acceptance"`
+}
+
+// Summary returns the sums over all jobs, by queue in the order of their names.
+func (c *Collector) Summary() Summary {
+	queues := map[string]*QueueSummary{}
+	for _, j := range c.order {
+		q := queues[j.Queue]
+		if q == nil {
+			q = &QueueSummary{Queue: j.Queue, Results: map[Result]int{}, Spent: map[Cause]time.Duration{}}
+			queues[j.Queue] = q
+		}
+		q.add(j)
+	}
+	summary := Summary{Refusals: c.refusals, WithoutAcceptance: len(c.unaccepted)}
+	for _, q := range queues {
+		summary.Queues = append(summary.Queues, *q)
+	}
+	slices.SortFunc(summary.Queues, func(x, y QueueSummary) int { return strings.Compare(x.Queue, y.Queue) })
+	return summary
+}
+
+// add adds a job to the sums.
+func (q *QueueSummary) add(j *Job) {
+	result := j.Result()
+	q.Jobs++
+	q.Results[result]++
+	if result != ResultLate && result != ResultOverdue {
+		return
+	}
+	for _, segment := range j.Chain() {
+		q.Spent[segment.Cause] += segment.For
+	}
+}
