Refuse submissions soon and truthfully while the store is silent

Change: a write without an answer for 100 ms (or four times the usual duration) starts a read; if that is silent too, the entry refuses at once, without a write, and probes the store by reads while callers come. Retry-After grows with the age of the outage, as callers retry only a few times.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/coordinator"
 	"clementineflow/internal/job"
@@ -26,8 +27,6 @@
 	// resolveTimeout is how long an entry tries to determine the outcome of a write that got no reply. An early
 	// Unknown reply leaves the caller time to submit the job at another entry.
 	resolveTimeout = time.Second
-	// retryAfter is the delay after which a refused caller should retry.
-	retryAfter = time.Second
 	// replyMargin is the time reserved between the last attempt and the caller's deadline.
 	replyMargin = 150 * time.Millisecond
 	// queryTimeout bounds a query to the coordinator.
@@ -65,6 +64,8 @@
 	config    Config
 	unsettled *unsettled
 	outage    *outage
+	// goroutines probe the store; each ends within probePeriod and a call.
+	goroutines conc.WaitGroup
 }
 
 // New returns a gateway without known outages or open writes.
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -5,43 +5,112 @@
 	"time"
 )
 
-// probeInterval is the time between two submissions that are attempted during a known outage of the store.
-const probeInterval = 500 * time.Millisecond
+const (
+	// minSilence is the shortest time without an answer after which a write counts as silent.
+	minSilence = 100 * time.Millisecond
+	// silenceFactor is the ratio of that time to the usual duration of a store call, so that a slow store does not
+	// count as silent.
+	silenceFactor = 4
+	// probeInterval is the time between two probes of the store during an outage.
+	probeInterval = 250 * time.Millisecond
+	// probePeriod is how long the store is probed after a refused submission.
+	probePeriod = 2 * time.Second
+	// minRetryAfter and maxRetryAfter bound the delay after which a caller that was refused should retry.
+	minRetryAfter = time.Second
+	maxRetryAfter = 3 * time.Second
+)
 
-// outage tracks whether jobs can be stored. During an outage, submissions are refused at once and without a
-// write, so that a refused job is certainly not stored and the caller can try another entry. It is safe for
-// concurrent use.
+// outage tracks whether jobs can be stored. During an outage submissions are refused at once and without a write, so
+// that a refused job is certainly not stored and the caller can submit it again. The store is then probed by reads,
+// which cost no caller its submission. It is safe for concurrent use.
 type outage struct {
 	mu sync.Mutex
-	// since is the time of the first of the consecutive failed attempts, or zero after a success.
-	since   time.Time
-	probeAt time.Time
+	// failingSince is the time of the first of the consecutive failed calls, or zero after a success.
+	failingSince time.Time
+	// known is set while the store is known to be away; knownSince is when that began.
+	known      bool
+	knownSince time.Time
+	// usual is the duration of the latest successful calls.
+	usual time.Duration
+	// probeUntil is when the current probing ends; it is zero while the store is not probed.
+	probeUntil time.Time
+}
+
+// isKnown reports whether the store is known to be away.
+func (o *outage) isKnown() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.known
+}
+
+// silence returns the time without an answer after which a call counts as silent.
+func (o *outage) silence() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return max(minSilence, silenceFactor*o.usual)
 }
 
-// allowAttempt reports whether a submission may be attempted now. During an outage it allows one per
-// probeInterval.
-func (o *outage) allowAttempt(now time.Time) bool {
+// recordSuccess records a call that the store has answered after the given time.
+func (o *outage) recordSuccess(took time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.since.IsZero() || now.Sub(o.since) < refuseAfter {
-		return true
+	o.usual = max(took, o.usual/2)
+	o.failingSince, o.known = time.Time{}, false
+}
+
+// recordFailure records a failed attempt. Attempts that have failed for refuseAfter are an outage.
+func (o *outage) recordFailure(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failingSince.IsZero() {
+		o.failingSince = now
 	}
-	if now.Before(o.probeAt) {
-		return false
+	if now.Sub(o.failingSince) >= refuseAfter {
+		o.setKnown(now)
 	}
-	o.probeAt = now.Add(probeInterval)
-	return true
 }
 
-// recordAttempt records whether an attempt failed, and reports whether attempts have failed for refuseAfter.
-func (o *outage) recordAttempt(failed bool, now time.Time) bool {
+// recordSilence records that neither a write nor a read sent after it was answered in time.
+func (o *outage) recordSilence(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch {
-	case !failed:
-		o.since = time.Time{}
-	case o.since.IsZero():
-		o.since = now
+	o.setKnown(now)
+}
+
+func (o *outage) setKnown(now time.Time) {
+	if !o.known {
+		o.known, o.knownSince = true, now
 	}
-	return !o.since.IsZero() && now.Sub(o.since) >= refuseAfter
+}
+
+// retryAfter returns the delay after which a refused caller should retry. It grows with the age of the outage, since
+// callers retry only a few times.
+func (o *outage) retryAfter(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.known {
+		return minRetryAfter
+	}
+	return min(max(now.Sub(o.knownSince), minRetryAfter), maxRetryAfter)
+}
+
+// requestProbing extends the probing of the store, and reports whether the caller has to start it.
+func (o *outage) requestProbing(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	start := o.probeUntil.IsZero()
+	o.probeUntil = now.Add(probePeriod)
+	return start
+}
+
+// endProbing ends the probing if the outage is over or no submission has asked for it lately, and reports whether it
+// has ended.
+func (o *outage) endProbing(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.known && now.Before(o.probeUntil) {
+		return false
+	}
+	o.probeUntil = time.Time{}
+	return true
 }
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -7,24 +7,58 @@
 	"github.com/matryer/is"
 )
 
-// TestOutageLetsProbesThrough guards against an outage during which all submissions are refused or all are
-// attempted, and against submissions still refused after the store has recovered.
-func TestOutageLetsProbesThrough(t *testing.T) {
+// TestOutage guards against an outage that a short failure starts, against submissions still refused after the store
+// has recovered, and against a slow store that counts as silent.
+func TestOutage(t *testing.T) {
 	is := is.New(t)
 	o := &outage{}
 	now := time.Unix(1000, 0)
-	is.True(o.allowAttempt(now))
-	is.True(!o.recordAttempt(true, now)) // a short failure is no outage yet
+	is.True(!o.isKnown())
+	o.recordFailure(now)
+	is.True(!o.isKnown()) // a short failure is no outage yet
 	now = now.Add(refuseAfter)
-	is.True(o.recordAttempt(true, now))
-	allowed := 0
-	for range 100 {
-		now = now.Add(probeInterval / 50)
-		if o.allowAttempt(now) {
-			allowed++
-		}
+	o.recordFailure(now)
+	is.True(o.isKnown())
+	o.recordSuccess(300 * time.Millisecond)
+	is.True(!o.isKnown())
+	is.Equal(o.silence(), 1200*time.Millisecond) // four times the duration of the slow call
+	for range 10 {
+		o.recordSuccess(4 * time.Millisecond)
 	}
-	is.True(allowed >= 2 && allowed <= 3) // the loop covers two probe intervals
-	is.True(!o.recordAttempt(false, now))
-	is.True(o.allowAttempt(now))
+	is.Equal(o.silence(), minSilence)
+	o.recordSilence(now)
+	is.True(o.isKnown())
+}
+
+// TestRetryAfterGrowsWithTheOutage guards against callers that use up their retries while the store is away.
+func TestRetryAfterGrowsWithTheOutage(t *testing.T) {
+	is := is.New(t)
+	o := &outage{}
+	began := time.Unix(1000, 0)
+	is.Equal(o.retryAfter(began), minRetryAfter)
+	o.recordSilence(began)
+	const retries = 4
+	now := began
+	for range retries {
+		now = now.Add(o.retryAfter(now))
+	}
+	is.True(now.Sub(began) >= 7*time.Second)
+	o.recordSuccess(time.Millisecond)
+	is.Equal(o.retryAfter(now), minRetryAfter)
+}
+
+// TestProbingEnds guards against two probings at a time, and against one that goes on without submissions or after
+// the outage.
+func TestProbingEnds(t *testing.T) {
+	is := is.New(t)
+	o := &outage{}
+	now := time.Unix(1000, 0)
+	o.recordSilence(now)
+	is.True(o.requestProbing(now))
+	is.True(!o.requestProbing(now.Add(time.Second)))
+	is.True(!o.endProbing(now.Add(time.Second)))
+	is.True(o.endProbing(now.Add(time.Second + probePeriod)))
+	is.True(o.requestProbing(now.Add(4 * time.Second)))
+	o.recordSuccess(time.Millisecond)
+	is.True(o.endProbing(now.Add(4 * time.Second)))
 }
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementineflow/internal/store"
+)
+
+// watchSilence probes the store if the call in progress is not answered in time. It returns when the call's context
+// has ended or the probe is answered.
+func (g *Gateway) watchSilence(call context.Context) {
+	timer := time.NewTimer(g.outage.silence())
+	defer timer.Stop()
+	select {
+	case <-call.Done():
+		return
+	case <-timer.C:
+	}
+	if probeErr := g.probe(g.outage.silence()); probeErr != nil && call.Err() == nil {
+		g.outage.recordSilence(time.Now())
+		g.config.Logger.Warn("the store does not answer; refusing submissions", "error", probeErr)
+	}
+}
+
+// probe reads a key from the store. An answer of any kind ends a known outage.
+func (g *Gateway) probe(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	sent := time.Now()
+	_, err := g.config.Store.Get(ctx, g.config.View.Conditions(g.config.View.Snapshot(), false)[0].Key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	g.outage.recordSuccess(time.Since(sent))
+	return nil
+}
+
+// refuseInOutage refuses a submission without a write, and makes sure that the store is probed meanwhile.
+func (g *Gateway) refuseInOutage(id string) Reply {
+	if g.outage.requestProbing(time.Now()) {
+		g.goroutines.Go(g.probeUntilBack)
+	}
+	return g.refuse(id, Refused, "the store is away")
+}
+
+// probeUntilBack probes the store until the outage is over or no submission needs it any more.
+func (g *Gateway) probeUntilBack() {
+	for !g.outage.endProbing(time.Now()) {
+		if g.probe(callTimeout) == nil {
+			g.config.Logger.Info("the store answers again; accepting submissions")
+			continue
+		}
+		time.Sleep(probeInterval)
+	}
+}
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -35,24 +35,26 @@
 	case err != nil:
 		return g.refuse(spec.ID, Invalid, err.Error())
 	}
-	if !g.outage.allowAttempt(time.Now()) {
-		return g.refuse(spec.ID, Refused, "the store is away")
+	if g.outage.isKnown() {
+		return g.refuseInOutage(spec.ID)
 	}
 	startedAt := time.Now()
 	// maybeStored is set once a write may have taken effect.
 	maybeStored := false
 	for {
+		attemptedAt := time.Now()
 		reply, err := g.storeJob(ctx, host, path, spec)
-		inOutage := g.outage.recordAttempt(err != nil, time.Now())
 		if err == nil {
+			g.outage.recordSuccess(time.Since(attemptedAt))
 			if maybeStored && reply.Outcome != Accepted {
 				// An earlier attempt may still take effect.
 				reply.Outcome = Unknown
 			}
 			return reply
 		}
+		g.outage.recordFailure(time.Now())
 		maybeStored = maybeStored || errors.Is(err, store.ErrOutcomeUnknown)
-		if !maybeStored && (inOutage || time.Since(startedAt) > refuseAfter) {
+		if !maybeStored && (g.outage.isKnown() || time.Since(startedAt) > refuseAfter) {
 			return g.refuse(spec.ID, Refused, err.Error())
 		}
 		if maybeStored && time.Since(startedAt) > resolveTimeout || !g.waitForRetry(ctx) {
@@ -81,7 +83,7 @@
 // refuse logs and returns a reply with an outcome other than Accepted.
 func (g *Gateway) refuse(id string, outcome Outcome, reason string) Reply {
 	g.config.Logger.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
-	return Reply{Outcome: outcome, RetryAfter: retryAfter, Reason: reason}
+	return Reply{Outcome: outcome, RetryAfter: g.outage.retryAfter(time.Now()), Reason: reason}
 }
 
 // storeJob makes one attempt to store a job, on condition that the configuration is current.
@@ -105,6 +107,7 @@
 	conditions := append(g.config.View.Conditions(snapshot, false), store.Condition{Key: key})
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	g.goroutines.Go(func() { g.watchSilence(call) })
 	sent := time.Now()
 	revision, err := g.config.Store.Commit(call, store.Transaction{
 		Conditions: conditions, Writes: []store.Write{{Key: key, Value: value}},
