--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"time"
+
 	"clementineflow/internal/job"
 )
 
@@ -24,8 +26,11 @@
 	otherRackPenalty = 1
 	// avoidPenalty is subtracted from the score of the worker that the task should avoid after its previous run.
 	avoidPenalty = 4
+	// fillerPatience is how long a filler waits for a worker on which it is not expected to be throttled. Fillers
+	// placed without headroom press on the runs there, and hold the room that the first jobs need.
+	fillerPatience = 5 * time.Second
 	// headroomSlackPerSecond is by how much the minimum headroom of a filler falls for each second that it has
-	// waited.
+	// waited beyond fillerPatience.
 	headroomSlackPerSecond = 0.03
 )
 
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -86,7 +86,7 @@
 	definition := r.definition()
 	lowest := 0.0
 	if definition.Filler {
-		lowest = -headroomSlackPerSecond * (o.planner.now - r.run().waitingSince).Seconds()
+		lowest = -headroomSlackPerSecond * max(0, o.planner.now-r.run().waitingSince-fillerPatience).Seconds()
 	}
 	avoid := r.run().avoid
 	var best *option
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -49,6 +49,14 @@
 	p.AddJob(&job.Spec{ID: id, Queue: queue, Service: "pool", Steps: []job.Step{step}}, nil, 0, 0)
 }
 
+// endTask reports that the run of a task is done.
+func endTask(p *Planner, name string, number uint64) {
+	task, _ := p.Task(name)
+	p.HandleRunsEnded(task.Worker.Agent, &wire.RunEnded{WorkerID: task.Worker.ID, Incarnation: task.Worker.Incarnation, Ends: []wire.EndRow{{
+		Number: number, Task: name, Run: task.Run, Outcome: uint8(job.OutcomeDone),
+	}}})
+}
+
 // commit completes all pending commits and returns the number of start orders by agent.
 func commit(p *Planner) map[string]int {
 	for revision := store.Revision(1); ; revision++ {
@@ -284,6 +292,34 @@
 	is.Equal(totalStarts(commit(p)), 1)
 }
 
+// TestRoomGoesToTheFirstJob guards against tasks that are placed without headroom because they have waited for some
+// seconds: under overload all waiting tasks would be, and jobs that can be in time would find no room.
+func TestRoomGoesToTheFirstJob(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(1)
+	addJob(p, "serving", "urgent", job.Step{Count: 1, LongRunning: true, Image: "x", LatencyTarget: 50 * time.Millisecond})
+	commit(p)
+	p.HandleRunProgress(agentName(0), &wire.RunProgress{
+		WorkerID: "w-" + agentName(0), Incarnation: 1,
+		Pressures: []wire.PressureRow{{Serving: "x", Filler: "heavy", Value: 0.2, Samples: 1000}},
+		Loads:     []wire.LoadRow{{Task: "serving.0.0.0", Load: 0.4}},
+	})
+	filler := job.Step{Filler: true, Image: "heavy", Estimate: 2 * time.Second, Need: resource.Quantity{MilliCPU: 250}}
+	large, small := filler, filler
+	large.Count, small.Count = 3, 1
+	addJob(p, "large", "timed", large)
+	is.Equal(totalStarts(commit(p)), 1) // there is room for one
+	p.Advance(p.now + fillerPatience - time.Millisecond)
+	addJob(p, "small", "timed", small)
+	is.Equal(totalStarts(commit(p)), 0)
+	endTask(p, "large.0.0.0", 1)
+	commit(p)
+	task, _ := p.Task("small.0.0.0")
+	is.Equal(task.Phase, job.PhaseAssigned)
+	task, _ = p.Task("large.0.0.1")
+	is.Equal(task.Phase, job.PhaseWaiting)
+}
+
 // TestFillerWithoutHeadroomStartsInTime guards against a filler that waits without limit because of a learned
 // pressure, while most of the capacity of its service is free.
 func TestFillerWithoutHeadroomStartsInTime(t *testing.T) {
--- a/internal/planner/pressures.go
+++ b/internal/planner/pressures.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// usageLimit is the used share of the shared resource up to which a run meets its latency target.
-	usageLimit = 0.76
+	// usageLimit is the used share of the shared resource up to which fillers are placed beside a run with a latency
+	// target. Their agents let them work up to a higher share, which leaves room for loads that rise.
+	usageLimit = 0.73
 )
 
 // pressureTable combines the pressure estimates of all agents: the pressure of a filler's image on runs of
