Place runs that neither serve nor fill beside runs with a latency target

Cause: quick checks went to the emptiest workers, which are those without runs that have a latency target. On further these are one to three of eleven, and the only ones on which fillers can use all processors. Change: such runs prefer workers with serving runs, whose free processors fillers can hardly use.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -22,6 +22,9 @@
 	onlyImageScore  = 3
 	mixedImageScore = 2.5
 	otherImageScore = 1
+	// besideServingBonus is added to the score of a worker with runs that have a latency target, for runs that neither
+	// serve nor fill. It is larger than any difference of their other scores.
+	besideServingBonus = 2
 	// otherRackPenalty is subtracted from the score of a worker outside the rack of the step's data.
 	otherRackPenalty = 1
 	// avoidPenalty is subtracted from the score of the worker that the task should avoid after its previous run.
@@ -72,7 +75,7 @@
 	case definition.Filler:
 		score = a.idleShare() + headroomWeight*headroom
 	default:
-		score = a.idleShare() + a.freeShare()
+		score = p.plainScore(a)
 	}
 	if definition.Rack != "" && !a.hasLabel(definition.Rack) {
 		score -= otherRackPenalty
@@ -80,6 +83,16 @@
 	return score
 }
 
+// plainScore rates a worker for a run that neither serves nor fills. Beside runs with a latency target fillers can use
+// few of the processors that are free, so such runs go there and leave the other workers to fillers.
+func (p *Planner) plainScore(a *agent) float64 {
+	score := a.idleShare() + a.freeShare()
+	if len(p.neighboursOf(a).serving) > 0 {
+		score += besideServingBonus
+	}
+	return score
+}
+
 // idleShare returns the estimated unused share of the processors.
 func (a *agent) idleShare() float64 {
 	return float64(a.idleCPU()) / float64(max(a.capacity.MilliCPU, 1))
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -292,6 +292,28 @@
 	is.Equal(totalStarts(commit(p)), 1)
 }
 
+// TestPlainRunsLeaveRoomToFillers guards against runs that neither serve nor fill on the workers without runs that
+// have a latency target: these are the only ones on which fillers can use all processors.
+func TestPlainRunsLeaveRoomToFillers(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(3)
+	addJob(p, "serving", "urgent", job.Step{
+		Count: 1, LongRunning: true, Image: "x", LatencyTarget: 50 * time.Millisecond, Need: resource.Quantity{MilliCPU: 2000},
+	})
+	commit(p)
+	serving, _ := p.Task("serving.0.0.0")
+	addJob(p, "plain", "urgent", job.Step{Count: 4})
+	commit(p)
+	beside := 0
+	for index := range 4 {
+		task, _ := p.Task(fmt.Sprintf("plain.0.0.%d", index))
+		if task.Worker == serving.Worker {
+			beside++
+		}
+	}
+	is.Equal(beside, 2) // as many as fit there
+}
+
 // TestRoomGoesToTheFirstJob guards against tasks that are placed without headroom because they have waited for some
 // seconds: under overload all waiting tasks would be, and jobs that can be in time would find no room.
 func TestRoomGoesToTheFirstJob(t *testing.T) {
