--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clementineflow/internal/job"
+	"clementineflow/internal/planner"
 	"clementineflow/internal/store"
 	"clementineflow/internal/wire"
 )
@@ -14,6 +15,8 @@
 	agent  *agentEvent
 	commit *commitResult
 	query  *query
+	// knowledge is what an earlier term has learned.
+	knowledge *planner.Knowledge
 }
 
 // agentEvent is a message from an agent, or the end of its link.
