--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"clementineflow/internal/job"
-	"clementineflow/internal/planner"
 	"clementineflow/internal/store"
 	"clementineflow/internal/wire"
 )
@@ -15,8 +14,6 @@
 	agent  *agentEvent
 	commit *commitResult
 	query  *query
-	// knowledge is what an earlier term has learned.
-	knowledge *planner.Knowledge
 }
 
 // agentEvent is a message from an agent, or the end of its link.
--- a/internal/coordinator/keys.go
+++ b/internal/coordinator/keys.go
@@ -9,8 +9,6 @@
 // Keys in the store.
 const (
 	leaderKey = "leader"
-	// knowledgeKey holds what the planners of all terms have learned.
-	knowledgeKey = "knowledge"
 	// InputPrefix is the prefix of all keys that other processes write for the coordinator.
 	InputPrefix    = "in/"
 	jobPrefix      = InputPrefix + "job/"
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -38,12 +38,8 @@
 	// commitRetry fires when the next commit may follow a failed one; it is nil if no retry is pending.
 	commitRetry      <-chan time.Time
 	commitRetryDelay time.Duration
-	// knowledgeLoaded is set once the knowledge of earlier terms has been passed to the planner.
-	knowledgeLoaded bool
-	// storedKnowledge is the encoded knowledge that was written last.
-	storedKnowledge []byte
-	sessions        map[string]*session
-	group           *conc.WaitGroup
+	sessions         map[string]*session
+	group            *conc.WaitGroup
 }
 
 func newTerm(config Config, number uint64, lease store.LeaseID, validUntil time.Duration) *term {
@@ -72,9 +68,6 @@
 	t.group.Go(func() {
 		contain.RunWithRestart(ctx, t.config.Logger, "hand-over", func(ctx context.Context) { t.yieldToStronger(ctx, cancel) })
 	})
-	t.group.Go(func() {
-		contain.Call(t.config.Logger, "load knowledge", func() { t.loadKnowledge(ctx) })
-	})
 	if err := t.loadProgress(ctx); err != nil {
 		return err
 	}
@@ -128,8 +121,6 @@
 	defer tick.Stop()
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
-	learned := time.NewTicker(knowledgeInterval)
-	defer learned.Stop()
 	for {
 		operator := t.config.View.Changed()
 		t.applyOperator()
@@ -147,8 +138,6 @@
 		case <-tick.C:
 			t.planner.Advance(t.config.Now())
 			t.planner.Tick()
-		case <-learned.C:
-			t.storeKnowledge(ctx)
 		case <-expire.C:
 			t.planner.ExpireJobs(time.Now().UnixMilli())
 		}
@@ -193,8 +182,6 @@
 		t.handleCommit(e.commit)
 	case e.query != nil:
 		t.answerQuery(e.query)
-	case e.knowledge != nil:
-		t.restoreKnowledge(e.knowledge)
 	default:
 		for _, change := range e.input {
 			t.handleInput(ctx, change)
