--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,8 @@
 	// resolveTimeout is how long an entry tries to determine the outcome of a write that got no reply. An early
 	// Unknown reply leaves the caller time to submit the job at another entry.
 	resolveTimeout = time.Second
+	// retryAfter is the delay after which a refused caller should retry.
+	retryAfter = time.Second
 	// replyMargin is the time reserved between the last attempt and the caller's deadline.
 	replyMargin = 150 * time.Millisecond
 	// queryTimeout bounds a query to the coordinator.
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -15,9 +15,6 @@
 	probeInterval = 250 * time.Millisecond
 	// probePeriod is how long the store is probed after a refused submission.
 	probePeriod = 2 * time.Second
-	// minRetryAfter and maxRetryAfter bound the delay after which a caller that was refused should retry.
-	minRetryAfter = time.Second
-	maxRetryAfter = 3 * time.Second
 )
 
 // outage tracks whether jobs can be stored. During an outage submissions are refused at once and without a write, so
@@ -27,9 +24,8 @@
 	mu sync.Mutex
 	// failingSince is the time of the first of the consecutive failed calls, or zero after a success.
 	failingSince time.Time
-	// known is set while the store is known to be away; knownSince is when that began.
-	known      bool
-	knownSince time.Time
+	// known is set while the store is known to be away.
+	known bool
 	// usual is the duration of the latest successful calls.
 	usual time.Duration
 	// probeUntil is when the current probing ends; it is zero while the store is not probed.
@@ -66,32 +62,15 @@
 		o.failingSince = now
 	}
 	if now.Sub(o.failingSince) >= refuseAfter {
-		o.setKnown(now)
+		o.known = true
 	}
 }
 
 // recordSilence records that neither a write nor a read sent after it was answered in time.
-func (o *outage) recordSilence(now time.Time) {
+func (o *outage) recordSilence() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.setKnown(now)
-}
-
-func (o *outage) setKnown(now time.Time) {
-	if !o.known {
-		o.known, o.knownSince = true, now
-	}
-}
-
-// retryAfter returns the delay after which a refused caller should retry. It grows with the age of the outage, since
-// callers retry only a few times.
-func (o *outage) retryAfter(now time.Time) time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !o.known {
-		return minRetryAfter
-	}
-	return min(max(now.Sub(o.knownSince), minRetryAfter), maxRetryAfter)
+	o.known = true
 }
 
 // requestProbing extends the probing of the store, and reports whether the caller has to start it.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -20,7 +20,7 @@
 	case <-timer.C:
 	}
 	if probeErr := g.probe(g.outage.silence()); probeErr != nil && call.Err() == nil {
-		g.outage.recordSilence(time.Now())
+		g.outage.recordSilence()
 		g.config.Logger.Warn("the store does not answer; refusing submissions", "error", probeErr)
 	}
 }
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -83,7 +83,7 @@
 // refuse logs and returns a reply with an outcome other than Accepted.
 func (g *Gateway) refuse(id string, outcome Outcome, reason string) Reply {
 	g.config.Logger.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
-	return Reply{Outcome: outcome, RetryAfter: g.outage.retryAfter(time.Now()), Reason: reason}
+	return Reply{Outcome: outcome, RetryAfter: retryAfter, Reason: reason}
 }
 
 // storeJob makes one attempt to store a job, on condition that the configuration is current.
