--- a/internal/planner/pressures.go
+++ b/internal/planner/pressures.go
@@ -8,7 +8,7 @@
 const (
 	// usageLimit is the used share of the shared resource up to which fillers are placed beside a run with a latency
 	// target. Their agents let them work up to a higher share, which leaves room for loads that rise.
-	usageLimit = 0.73
+	usageLimit = 0.76
 )
 
 // pressureTable combines the pressure estimates of all agents: the pressure of a filler's image on runs of
