Tidy the rank of a job and the list of rejections

Cause: the rank computed the critical path of a job twice, the deadline had a special case that nothing used any more, and package urgency had no tests of its own; one reason for a rejected start was never given. Change: the queue with an objective is looked up once; tests of level and order; the unused reason is gone.

--- a/internal/planner/urgency.go
+++ b/internal/planner/urgency.go
@@ -30,29 +30,33 @@
 // computeRank returns the rank of a job at the current time. Jobs without an objective come first.
 func (p *Planner) computeRank(e *entry) urgency.Rank {
 	rank := urgency.Rank{Priority: p.priority(e), Level: urgency.InTime}
-	if deadline := p.deadline(e); deadline != (urgency.Deadline{}) {
-		_, remaining := p.criticalPath(e)
-		rank.Level, rank.Work = deadline.Level(p.now+remaining), p.remainingWork(e)
+	queue, ok := p.timedQueue(e)
+	if !ok {
+		return rank
 	}
+	total, remaining := p.criticalPath(e)
+	objective := objectiveOf(queue, total)
+	deadline := urgency.Deadline{InTime: e.submittedAt + objective, Useful: e.submittedAt + lateFactor*objective}
+	rank.Level, rank.Work = deadline.Level(p.now+remaining), p.remainingWork(e)
 	return rank
 }
 
-// deadline returns the times by which a job has to end.
-func (p *Planner) deadline(e *entry) urgency.Deadline {
-	objective := p.objective(e)
-	if objective == 0 {
-		return urgency.Deadline{}
+// timedQueue returns the queue of a job that has an objective, or false if the job has none.
+func (p *Planner) timedQueue(e *entry) (*operatorconfig.Queue, bool) {
+	if p.operator.Config == nil || e.runsUntilCancelled() {
+		return nil, false
 	}
-	return urgency.Deadline{InTime: e.submittedAt + objective, Useful: e.submittedAt + lateFactor*objective}
+	queue, ok := p.operator.Config.Queue(e.spec.Queue)
+	if !ok || queue.SlackFactor == 0 {
+		return nil, false
+	}
+	return queue, true
 }
 
 // objective returns the target time from submission to end of a job, or zero if it has none.
 func (p *Planner) objective(e *entry) time.Duration {
-	if p.operator.Config == nil || e.runsUntilCancelled() {
-		return 0
-	}
-	queue, ok := p.operator.Config.Queue(e.spec.Queue)
-	if !ok || queue.SlackFactor == 0 {
+	queue, ok := p.timedQueue(e)
+	if !ok {
 		return 0
 	}
 	total, _ := p.criticalPath(e)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -17,7 +17,6 @@
 	reasonAbsent           = "reported as absent before"
 	reasonOtherIncarnation = "other life of the worker"
 	reasonLeaving          = "worker is leaving"
-	reasonUnhealthy        = "worker is unhealthy"
 	reasonInvalid          = "worker refused the start as invalid"
 	reasonStopped          = "stopped before it started"
 	reasonLeaseEnded       = "lease of the silent worker has ended"
--- a/internal/urgency/deadline.go
+++ b/internal/urgency/deadline.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Deadline holds the times by which a job, or one of its runs, has to end. Zero means that there is no such time.
+// Deadline holds the times by which a job has to end.
 type Deadline struct {
 	// InTime is the latest end that meets the objective.
 	InTime time.Duration
@@ -13,7 +13,7 @@
 // Level returns the level of a job that ends at the given time.
 func (d Deadline) Level(end time.Duration) Level {
 	switch {
-	case d.InTime == 0 || end <= d.InTime:
+	case end <= d.InTime:
 		return InTime
 	case end <= d.Useful:
 		return Late
--- /dev/null
+++ b/internal/urgency/rank_test.go
@@ -0,0 +1,44 @@
+package urgency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestLevel guards against a job that counts as in time after its objective, or as overdue while it is of use.
+func TestLevel(t *testing.T) {
+	is := is.New(t)
+	d := Deadline{InTime: 10 * time.Second, Useful: 30 * time.Second}
+	is.Equal(d.Level(10*time.Second), InTime)
+	is.Equal(d.Level(10*time.Second+1), Late)
+	is.Equal(d.Level(30*time.Second), Late)
+	is.Equal(d.Level(30*time.Second+1), Overdue)
+}
+
+// TestRankOrder guards against an order in which a job of a later priority or level precedes another because it has
+// less work, or which is not the same in both directions.
+func TestRankOrder(t *testing.T) {
+	draw := rapid.Custom(func(t *rapid.T) Rank {
+		return Rank{
+			Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+			Level:    Level(rapid.IntRange(0, 2).Draw(t, "level")),
+			Work:     time.Duration(rapid.IntRange(0, 3).Draw(t, "work")),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		x, y := draw.Draw(t, "x"), draw.Draw(t, "y")
+		order := x.Compare(y)
+		if order != -y.Compare(x) || (order == 0) != (x == y) {
+			t.Fatalf("%+v to %+v: %d, back: %d", x, y, order, y.Compare(x))
+		}
+		if x.Priority < y.Priority && order >= 0 {
+			t.Fatalf("%+v does not precede %+v", x, y)
+		}
+		if x.Priority == y.Priority && x.Level < y.Level && order >= 0 {
+			t.Fatalf("%+v does not precede %+v", x, y)
+		}
+	})
+}
