Serve the first caller after an outage that nobody watched

Cause: probing ends when no submission comes for two seconds, but the outage stayed known: the first caller after a quiet time was refused although the store was back. Change: if the last probe is old, the entry probes before it refuses. A failed probe confirms an outage and never starts one. Result: TestSilentStore now has five seconds without submissions while the store returns; it fails without the change of storeAway.

--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -24,8 +24,9 @@
 	mu sync.Mutex
 	// failingSince is the time of the first of the consecutive failed calls, or zero after a success.
 	failingSince time.Time
-	// known is set while the store is known to be away.
-	known bool
+	// known is set while the store is known to be away; confirmedAt is when that was last found.
+	known       bool
+	confirmedAt time.Time
 	// usual is the duration of the latest successful calls.
 	usual time.Duration
 	// probeUntil is when the current probing ends; it is zero while the store is not probed.
@@ -39,6 +40,13 @@
 	return o.known
 }
 
+// isStale reports whether the store was known to be away, but has not been probed lately because no submission came.
+func (o *outage) isStale(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.known && now.Sub(o.confirmedAt) > callTimeout+2*probeInterval
+}
+
 // silence returns the time without an answer after which a call counts as silent.
 func (o *outage) silence() time.Duration {
 	o.mu.Lock()
@@ -62,15 +70,24 @@
 		o.failingSince = now
 	}
 	if now.Sub(o.failingSince) >= refuseAfter {
-		o.known = true
+		o.known, o.confirmedAt = true, now
 	}
 }
 
-// recordSilence records that neither a write nor a read sent after it was answered in time.
-func (o *outage) recordSilence() {
+// recordSilence records that the store did not answer a probe in time.
+func (o *outage) recordSilence(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.known = true
+	o.known, o.confirmedAt = true, now
+}
+
+// confirm records a probe that failed. It does not start an outage, as a later call may have been answered meanwhile.
+func (o *outage) confirm(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.known {
+		o.confirmedAt = now
+	}
 }
 
 // requestProbing extends the probing of the store, and reports whether the caller has to start it.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -20,7 +20,7 @@
 	case <-timer.C:
 	}
 	if probeErr := g.probe(g.outage.silence()); probeErr != nil && call.Err() == nil {
-		g.outage.recordSilence()
+		g.outage.recordSilence(time.Now())
 		g.config.Logger.Warn("the store does not answer; refusing submissions", "error", probeErr)
 	}
 }
@@ -38,6 +38,15 @@
 	return nil
 }
 
+// storeAway reports whether submissions must be refused. If the store was known to be away and no submission has come
+// since, it is probed first, so that the first caller after an outage is served.
+func (g *Gateway) storeAway() bool {
+	if g.outage.isStale(time.Now()) && g.probe(g.outage.silence()) != nil {
+		g.outage.confirm(time.Now())
+	}
+	return g.outage.isKnown()
+}
+
 // refuseInOutage refuses a submission without a write, and makes sure that the store is probed meanwhile.
 func (g *Gateway) refuseInOutage(id string) Reply {
 	if g.outage.requestProbing(time.Now()) {
@@ -53,6 +62,7 @@
 			g.config.Logger.Info("the store answers again; accepting submissions")
 			continue
 		}
+		g.outage.confirm(time.Now())
 		time.Sleep(probeInterval)
 	}
 }
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -35,7 +35,7 @@
 	case err != nil:
 		return g.refuse(spec.ID, Invalid, err.Error())
 	}
-	if g.outage.isKnown() {
+	if g.storeAway() {
 		return g.refuseInOutage(spec.ID)
 	}
 	startedAt := time.Now()
--- a/test/jobs/outage_test.go
+++ b/test/jobs/outage_test.go
@@ -90,8 +90,10 @@
 		is.Equal(load.outcomes[gateway.Refused], 120-load.outcomes[gateway.Unknown])
 		is.True(load.heldFor < 50*time.Millisecond)
 
+		// No submission comes while the store returns; the first one after that is served.
+		time.Sleep(5 * time.Second)
 		faulty.SetFaults(kvstore.Faults{DelayMillis: 4})
-		time.Sleep(time.Second)
+		time.Sleep(5 * time.Second)
 		load.submitFor(t.Context(), 2*time.Second, interval)
 		is.Equal(load.outcomes[gateway.Accepted], 40)
 
