--- /dev/null
+++ b/internal/planner/reconcile.go
@@ -0,0 +1,87 @@
+package planner
+
+import (
+	"slices"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/wire"
+)
+
+// reconcile compares the reported runs and ends with the runs assigned to the worker. Orders for assigned
+// runs that are not in the report are sent again.
+func (p *Planner) reconcile(a *agent, report *wire.AgentReport) {
+	present := map[ref]bool{}
+	for i := range report.Runs {
+		if r, ok := p.reconcileRun(a, &report.Runs[i], report.Restarted); ok {
+			present[r] = true
+		}
+	}
+	for i := range report.Ends {
+		if r, ok := p.findTask(report.Ends[i].Task); ok {
+			present[r] = true
+		}
+		p.handleEnd(a, &report.Ends[i])
+	}
+	var missing []ref
+	for r := range p.runsByIncarnation[a.incarnation] {
+		if !present[r] && r.run().ordered {
+			missing = append(missing, r)
+		}
+	}
+	slices.SortFunc(missing, compareRefs)
+	for _, r := range missing {
+		p.resendOrder(r, a)
+	}
+}
+
+// resendOrder sends the latest order for a run again. A run that the operator's configuration no longer
+// allows on the worker is stopped instead, so that it can be assigned to another worker.
+func (p *Planner) resendOrder(r ref, a *agent) {
+	switch {
+	case r.entry.progress.State.Final() || r.run().stopping:
+		p.sendStop(r)
+	case p.operator.Config == nil:
+		// Nothing may start without a configuration. The order is sent again later.
+	case !p.allowed(r.entry, r.step, a):
+		p.log("assigned run is no longer allowed on its worker", "task", r.name(), "run", r.task().Run, "agent", a.name, "zone", a.zone)
+		p.sendStop(r)
+	default:
+		p.sendStart(r)
+	}
+}
+
+// reconcileRun updates a reported run and returns its task. It orders the worker to stop a run that is not
+// assigned to it, and then returns false.
+func (p *Planner) reconcileRun(a *agent, row *wire.RunRow, restarted bool) (ref, bool) {
+	r, ok := p.findTask(row.Task)
+	if ok {
+		task := r.task()
+		current := task.Phase == job.PhaseAssigned && task.Worker == a.incarnation && task.Run == row.Run
+		if current && r.run().ordered {
+			p.recordProgress(r, row)
+			switch {
+			case r.entry.progress.State.Final() || r.run().stopping:
+				p.sendStop(r)
+			case restarted:
+				// The start order repeats the sharing parameters of the run, which a restarted agent has lost.
+				p.sendStart(r)
+			}
+			return r, true
+		}
+	}
+	p.log("stopping run that is not assigned to the worker", "task", row.Task, "run", row.Run, "agent", a.name)
+	p.orders = append(p.orders, Order{Agent: a.name, Message: &wire.StopRun{
+		Task: row.Task, Run: row.Run, WorkerID: a.incarnation.ID, Incarnation: a.incarnation.Incarnation,
+	}})
+	return ref{}, false
+}
+
+// recordProgress stores the reported progress and checkpoint of a run.
+func (p *Planner) recordProgress(r ref, row *wire.RunRow) {
+	r.entry.hasStarted = true
+	r.run().reported = true
+	r.run().percent = row.ProgressPercent
+	if row.Checkpoint != "" {
+		r.task().Checkpoint = row.Checkpoint
+	}
+}
