Tidy what the second reading of the change showed

Cause: the factor of a late job stood twice; the processor time of a job was computed in two packages, once for a log line only; two functions of clementinectl losses did two things; background goroutines of the gateway lost a panic. Result: packages pass; no decision changed.

--- a/cmd/clementinectl/losses.go
+++ b/cmd/clementinectl/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -71,16 +72,18 @@
 	if s.format != "table" {
 		return s.printValue(summary)
 	}
-	if err := s.printTable(resultRows(summary)); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintln(s.output); err != nil {
-		return err
+	for _, rows := range []table{resultRows(summary), causeRows(summary), leftOutRows(summary)} {
+		if err := s.printTable(rows); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(s.output); err != nil {
+			return err
+		}
 	}
-	return s.printTable(causeRows(summary))
+	return nil
 }
 
-// resultRows returns a row with the number of jobs by result for each queue, and one for each reason of a refusal.
+// resultRows returns, for each queue, the number of its jobs by result.
 func resultRows(summary losses.Summary) table {
 	header := []string{"QUEUE", "JOBS"}
 	for _, result := range losses.Results() {
@@ -97,8 +100,7 @@
 	return rows
 }
 
-// causeRows returns, for each queue, the seconds that its late and overdue jobs spent on each cause; then what was not
-// accepted, and the jobs that are left out.
+// causeRows returns, for each queue, the seconds that its late and overdue jobs spent on each cause.
 func causeRows(summary losses.Summary) table {
 	header := []string{"SECONDS OF LATE JOBS"}
 	for _, queue := range summary.Queues {
@@ -112,23 +114,16 @@
 		}
 		rows = append(rows, row)
 	}
-	for _, reason := range sortedKeys(summary.Refusals) {
-		rows = append(rows, []string{"not accepted: " + reason, strconv.Itoa(summary.Refusals[reason])})
-	}
-	if summary.WithoutAcceptance > 0 {
-		rows = append(rows, []string{"left out, accepted before the logs", strconv.Itoa(summary.WithoutAcceptance)})
-	}
 	return rows
 }
 
-// sortedKeys returns the keys of the counts in order.
-func sortedKeys(counts map[string]int) []string {
-	keys := make([]string, 0, len(counts))
-	for key := range counts {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
+// leftOutRows returns the number of submissions that were not accepted, by reason, and of jobs that are left out.
+func leftOutRows(summary losses.Summary) table {
+	rows := table{{"NOT IN THE SUMS", "JOBS"}}
+	for _, reason := range slices.Sorted(maps.Keys(summary.Refusals)) {
+		rows = append(rows, []string{"not accepted: " + reason, strconv.Itoa(summary.Refusals[reason])})
+	}
+	return append(rows, []string{"accepted before the logs", strconv.Itoa(summary.WithoutAcceptance)})
 }
 
 // printChain writes the waits and runs of a job in the selected format.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/contain"
 	"clementineflow/internal/store"
 )
 
@@ -25,7 +26,7 @@
 	}
 }
 
-// probe reads a key from the store. An answer of any kind ends a known outage.
+// probe reads the configuration key from the store. An answer ends a known outage, also if there is no such key.
 func (g *Gateway) probe(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -50,11 +51,16 @@
 // refuseInOutage refuses a submission without a write, and makes sure that the store is probed meanwhile.
 func (g *Gateway) refuseInOutage(id string) Reply {
 	if g.outage.requestProbing(time.Now()) {
-		g.goroutines.Go(g.probeUntilBack)
+		g.goBackground("probe of the store", g.probeUntilBack)
 	}
 	return g.refuse(id, Refused, "the store is away")
 }
 
+// goBackground runs a background task that ends by itself. A panic is logged and does not end the process.
+func (g *Gateway) goBackground(what string, f func()) {
+	g.goroutines.Go(func() { contain.Call(g.config.Logger, what, f) })
+}
+
 // probeUntilBack probes the store until the outage is over or no submission needs it any more.
 func (g *Gateway) probeUntilBack() {
 	for !g.outage.endProbing(time.Now()) {
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -107,7 +107,7 @@
 	conditions := append(g.config.View.Conditions(snapshot, false), store.Condition{Key: key})
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	g.goroutines.Go(func() { g.watchSilence(call) })
+	g.goBackground("watch of a write", func() { g.watchSilence(call) })
 	sent := time.Now()
 	revision, err := g.config.Store.Commit(call, store.Transaction{
 		Conditions: conditions, Writes: []store.Write{{Key: key, Value: value}},
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -17,9 +17,6 @@
 	MaxTasks = 4096
 )
 
-// milliPerCore converts thousandths of a core to cores.
-const milliPerCore = 1000
-
 // Spec is a job as submitted. It is immutable once stored.
 type Spec struct {
 	ID string `cbor:"1,keyasint"`
@@ -81,18 +78,6 @@
 	return nil
 }
 
-// CoreTime returns the declared processor time of all tasks that end by themselves, in core-seconds.
-func (s *Spec) CoreTime() time.Duration {
-	total := time.Duration(0)
-	for i := range s.Steps {
-		step := &s.Steps[i]
-		if !step.LongRunning {
-			total += step.Estimate * time.Duration(int64(step.Count)*step.Need.MilliCPU) / milliPerCore
-		}
-	}
-	return total
-}
-
 // EncodeSpec returns the stored encoding of a job.
 func EncodeSpec(spec *Spec) ([]byte, error) {
 	return wire.Marshal(spec)
--- a/internal/losses/collector.go
+++ b/internal/losses/collector.go
@@ -13,7 +13,7 @@
 	jobs map[string]*Job
 	// order lists the jobs in the order of their acceptance.
 	order []*Job
-	// unaccepted counts the jobs of which a line tells, but not that they were accepted.
+	// unaccepted holds the jobs whose acceptance is not in the logs.
 	unaccepted map[string]bool
 	// refusals counts the submissions that were not accepted, by reason.
 	refusals map[string]int
--- a/internal/losses/job.go
+++ b/internal/losses/job.go
@@ -1,6 +1,10 @@
 package losses
 
-import "time"
+import (
+	"time"
+
+	"clementineflow/internal/urgency"
+)
 
 // Job is what the logs tell of one job.
 type Job struct {
@@ -19,9 +23,6 @@
 	tasks map[string][]*run
 }
 
-// lateFactor is the multiple of its objective after which a job counts as overdue.
-const lateFactor = 3
-
 // Result is how a job turned out.
 type Result string
 
@@ -29,7 +30,7 @@
 const (
 	ResultInTime Result = "in time"
 	ResultLate   Result = "late"
-	// ResultOverdue is a job that ended after lateFactor times its objective.
+	// ResultOverdue is a job that ended after urgency.LateFactor times its objective.
 	ResultOverdue   Result = "overdue"
 	ResultFailed    Result = "failed"
 	ResultCancelled Result = "cancelled"
@@ -54,7 +55,7 @@
 		return ResultCancelled
 	case j.Objective == 0 || took <= j.Objective:
 		return ResultInTime
-	case took <= lateFactor*j.Objective:
+	case took <= urgency.LateFactor*j.Objective:
 		return ResultLate
 	default:
 		return ResultOverdue
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"time"
-
 	"clementineflow/internal/job"
 	"clementineflow/internal/wire"
 )
@@ -48,7 +46,7 @@
 		task.Checkpoint = checkpoint
 	}
 	p.log("run ended", "task", r.name(), "run", task.Run, "agent", a.name, "outcome", outcome,
-		"ran_ms", p.ranFor(startedAt).Milliseconds(), "estimate_ms", r.definition().Estimate.Milliseconds())
+		"estimate_ms", r.definition().Estimate.Milliseconds())
 	if e.progress.State.Final() {
 		return
 	}
@@ -67,14 +65,6 @@
 	}
 }
 
-// ranFor returns how long a run took that was ordered at the given time, or zero if it was ordered in an earlier term.
-func (p *Planner) ranFor(startedAt time.Duration) time.Duration {
-	if startedAt == 0 {
-		return 0
-	}
-	return p.now - startedAt
-}
-
 // completeTask marks a task as done, and its job if this was the last open task.
 func (p *Planner) completeTask(r ref) {
 	task := r.task()
--- a/internal/planner/urgency.go
+++ b/internal/planner/urgency.go
@@ -10,9 +10,6 @@
 	"clementineflow/internal/urgency"
 )
 
-// lateFactor is the multiple of its objective within which the result of a late job is still useful.
-const lateFactor = 3
-
 // maxRankAge is how long the rank of a job is cached.
 const maxRankAge = 50 * time.Millisecond
 
@@ -36,7 +33,7 @@
 	}
 	total, remaining := p.criticalPath(e)
 	objective := objectiveOf(queue, total)
-	deadline := urgency.Deadline{InTime: e.submittedAt + objective, Useful: e.submittedAt + lateFactor*objective}
+	deadline := urgency.Deadline{InTime: e.submittedAt + objective, Useful: e.submittedAt + urgency.LateFactor*objective}
 	rank.Level, rank.Work = deadline.Level(p.now+remaining), p.remainingWork(e)
 	return rank
 }
--- a/internal/urgency/deadline.go
+++ b/internal/urgency/deadline.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// LateFactor is the multiple of its objective within which the end of a late job is still of use.
+const LateFactor = 3
+
 // Deadline holds the times by which a job has to end.
 type Deadline struct {
 	// InTime is the latest end that meets the objective.
