clementinectl losses: what any order could have done in time

Cause: the logs told how many jobs of a queue were in time, not how many could have been with the same room. Change: the line of an accepted job has its objective; losses bounds the jobs and the work in time by treating jobs as divisible work in windows of time, with the processor time that the queue's runs got (exact for that relaxation, by Hall's condition).

--- a/cmd/clementinectl/history_test.go
+++ b/cmd/clementinectl/history_test.go
@@ -52,9 +52,9 @@
 func TestLosses(t *testing.T) {
 	is := is.New(t)
 	late := `time=2026-09-26T14:00:03Z level=info msg="run ended" task=aa.0.0.0 run=1 agent=x outcome=done estimate_ms=1000
-time=2026-09-26T14:00:03Z level=info msg="job ended" job=aa state=done objective_ms=2000
+time=2026-09-26T14:00:03Z level=info msg="job ended" job=aa state=done
 `
-	early := `time=2026-09-26T14:00:00Z level=info msg="job accepted" job=aa queue=q age_ms=0
+	early := `time=2026-09-26T14:00:00Z level=info msg="job accepted" job=aa queue=q age_ms=0 work_core_ms=1000 tasks=1 objective_ms=2000
 time=2026-09-26T14:00:01Z level=info msg="task assigned" task=aa.0.0.0 run=1 agent=x
 `
 	name := filepath.Join(t.TempDir(), "all.log")
--- a/cmd/clementinectl/losses.go
+++ b/cmd/clementinectl/losses.go
@@ -72,7 +72,7 @@
 	if s.format != "table" {
 		return s.printValue(summary)
 	}
-	for _, rows := range []table{resultRows(summary), causeRows(summary), leftOutRows(summary)} {
+	for _, rows := range []table{resultRows(summary), causeRows(summary), boundRows(summary), leftOutRows(summary)} {
 		if err := s.printTable(rows); err != nil {
 			return err
 		}
@@ -117,6 +117,20 @@
 	return rows
 }
 
+// boundRows returns, for each queue, what was done in time and what any order could have done in time with the same
+// processor time.
+func boundRows(summary losses.Summary) table {
+	rows := table{{"QUEUE", "JOBS IN TIME", "AT MOST", "WORK IN TIME", "AT MOST"}}
+	for _, queue := range summary.Queues {
+		b := queue.Bound
+		rows = append(rows, []string{
+			queue.Queue, strconv.Itoa(b.InTime), fmt.Sprintf("%.1f", b.MaxInTime),
+			fmt.Sprintf("%.0f core s", b.InTimeWork.Seconds()), fmt.Sprintf("%.0f core s", b.MaxInTimeWork.Seconds()),
+		})
+	}
+	return rows
+}
+
 // leftOutRows returns the number of submissions that were not accepted, by reason, and of jobs that are left out.
 func leftOutRows(summary losses.Summary) table {
 	rows := table{{"NOT IN THE SUMS", "JOBS"}}
--- a/internal/losses/collector.go
+++ b/internal/losses/collector.go
@@ -65,11 +65,27 @@
 		return err
 	}
 	j := &Job{ID: id, Queue: queue, Submitted: line.Time.Add(-age), Accepted: line.Time, tasks: map[string][]*run{}}
+	if err := j.setSize(line); err != nil {
+		return err
+	}
 	c.jobs[id] = j
 	c.order = append(c.order, j)
 	return nil
 }
 
+// setSize sets the work, the number of tasks and the objective of a job from the line of its acceptance.
+func (j *Job) setSize(line *Line) error {
+	var err error
+	if j.Work, err = line.millis("work_core_ms"); err != nil {
+		return err
+	}
+	if j.Objective, err = line.millis("objective_ms"); err != nil {
+		return err
+	}
+	j.Tasks, err = line.number("tasks")
+	return err
+}
+
 func (c *Collector) addRefusal(line *Line) error {
 	reason, err := line.text("reason")
 	if err != nil {
@@ -101,7 +117,7 @@
 	if err != nil || j == nil {
 		return err
 	}
-	number, err := runNumber(line)
+	number, err := line.number("run")
 	if err != nil {
 		return err
 	}
@@ -115,19 +131,6 @@
 	return nil
 }
 
-// runNumber returns the number of the run that a line is about.
-func runNumber(line *Line) (int, error) {
-	text, err := line.text("run")
-	if err != nil {
-		return 0, err
-	}
-	number, err := strconv.Atoi(text)
-	if err != nil {
-		return 0, errors.Wrapf(ErrMalformedLine, "%s: run=%s is not a number", line.Source, text)
-	}
-	return number, nil
-}
-
 // taskStepField is the index of the step in the dot-separated name of a task.
 const taskStepField = 2
 
@@ -151,7 +154,7 @@
 	if err != nil || j == nil {
 		return err
 	}
-	number, err := runNumber(line)
+	number, err := line.number("run")
 	if err != nil {
 		return err
 	}
@@ -194,15 +197,11 @@
 	if !j.Ended.IsZero() {
 		return nil
 	}
-	objective, err := line.millis("objective_ms")
-	if err != nil {
-		return err
-	}
 	state, err := line.text("state")
 	if err != nil {
 		return err
 	}
-	j.Ended, j.State, j.Objective = line.Time, state, objective
+	j.Ended, j.State = line.Time, state
 	return nil
 }
 
--- a/internal/losses/job.go
+++ b/internal/losses/job.go
@@ -17,6 +17,9 @@
 	Ended time.Time
 	// State is the final state, or empty.
 	State string
+	// Work is the expected processor time of all tasks, and Tasks their number.
+	Work  time.Duration
+	Tasks int
 	// Objective is the target time from submission to end, or zero if the job has none.
 	Objective time.Duration
 	// tasks holds the runs by task, in the order of their assignment.
--- a/internal/losses/line.go
+++ b/internal/losses/line.go
@@ -25,15 +25,21 @@
 	return value, nil
 }
 
-// millis returns a field that holds a duration in milliseconds.
-func (l *Line) millis(key string) (time.Duration, error) {
+// number returns a field that holds a number that is not negative.
+func (l *Line) number(key string) (int, error) {
 	text, err := l.text(key)
 	if err != nil {
 		return 0, err
 	}
-	number, err := strconv.ParseInt(text, 10, 64)
+	number, err := strconv.Atoi(text)
 	if err != nil || number < 0 {
-		return 0, errors.Wrapf(ErrMalformedLine, "%s: %s=%s is not a number of milliseconds", l.Source, key, text)
+		return 0, errors.Wrapf(ErrMalformedLine, "%s: %s=%s is not a number", l.Source, key, text)
 	}
-	return time.Duration(number) * time.Millisecond, nil
+	return number, nil
+}
+
+// millis returns a field that holds a duration in milliseconds.
+func (l *Line) millis(key string) (time.Duration, error) {
+	number, err := l.number(key)
+	return time.Duration(number) * time.Millisecond, err
 }
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -29,7 +29,7 @@
 // lateJob returns the lines of a job of two steps whose second step waits, is stopped once and runs slowly.
 func lateJob() []*Line {
 	return []*Line{
-		line(100*ms, "job accepted", "job", "a", "queue", "q", "age_ms", "100"),
+		line(100*ms, "job accepted", "job", "a", "queue", "q", "age_ms", "100", "work_core_ms", "3000", "tasks", "3", "objective_ms", "4000"),
 		line(100*ms, "task assigned", "task", "a.0.0.0", "run", "1", "agent", "x"),
 		line(100*ms, "task assigned", "task", "a.0.0.1", "run", "1", "agent", "y"),
 		line(600*ms, "run ended", "task", "a.0.0.1", "run", "1", "agent", "y", "outcome", "done", "estimate_ms", "500"),
@@ -40,7 +40,7 @@
 		// The line of the agent itself, which names no agent.
 		line(5990*ms, "run ended", "task", "a.0.1.0", "run", "2", "outcome", "done", "number", "7"),
 		line(6*sec, "run ended", "task", "a.0.1.0", "run", "2", "agent", "y", "outcome", "done", "estimate_ms", "1000"),
-		line(6*sec, "job ended", "job", "a", "state", "done", "objective_ms", "4000"),
+		line(6*sec, "job ended", "job", "a", "state", "done"),
 	}
 }
 
@@ -81,10 +81,10 @@
 	is := is.New(t)
 	lines := append(
 		lateJob(),
-		line(7*sec, "job accepted", "job", "a", "queue", "q", "age_ms", "7000"), // the next coordinator
-		line(7*sec, "job accepted", "job", "b", "queue", "q", "age_ms", "0"),
-		line(8*sec, "job ended", "job", "b", "state", "cancelled", "objective_ms", "100"),
-		line(8*sec, "job accepted", "job", "c", "queue", "q", "age_ms", "0"),
+		line(7*sec, "job accepted", "job", "a", "queue", "q", "age_ms", "7000", "work_core_ms", "0", "tasks", "1", "objective_ms", "100"), // the next coordinator
+		line(7*sec, "job accepted", "job", "b", "queue", "q", "age_ms", "0", "work_core_ms", "0", "tasks", "1", "objective_ms", "100"),
+		line(8*sec, "job ended", "job", "b", "state", "cancelled"),
+		line(8*sec, "job accepted", "job", "c", "queue", "q", "age_ms", "0", "work_core_ms", "0", "tasks", "1", "objective_ms", "100"),
 		line(8*sec, "run ended", "task", "d.0.0.0", "run", "1", "agent", "x", "outcome", "done", "estimate_ms", "1"),
 		line(8*sec, "job not accepted", "job", "e", "reason", "the store is away"),
 	)
@@ -99,14 +99,15 @@
 
 // TestMalformedLines guards against a wrong table from lines that lack a field, such as those of an older version.
 func TestMalformedLines(t *testing.T) {
-	accepted := line(0, "job accepted", "job", "a", "queue", "q", "age_ms", "0")
+	accepted := line(0, "job accepted", "job", "a", "queue", "q", "age_ms", "0", "work_core_ms", "0", "tasks", "1", "objective_ms", "100")
 	for _, bad := range []*Line{
 		line(0, "job accepted", "job", "b", "queue", "q"),
 		line(0, "job accepted", "job", "b", "queue", "q", "age_ms", "soon"),
 		line(0, "task assigned", "task", "a", "run", "1"),
 		line(0, "task assigned", "task", "a.0.x.1", "run", "1"),
 		line(0, "task assigned", "task", "a.0.0.1", "run", "one"),
-		line(0, "job ended", "job", "a", "state", "done"),
+		line(0, "job accepted", "job", "b", "queue", "q", "age_ms", "0", "work_core_ms", "1", "tasks", "-1", "objective_ms", "1"),
+		line(0, "job ended", "job", "a"),
 		line(0, "job not accepted", "job", "a"),
 	} {
 		c := collect(t, accepted)
--- a/internal/losses/summary.go
+++ b/internal/losses/summary.go
@@ -13,6 +13,8 @@
 	Results map[Result]int `json:"results" yaml:"results"`
 	// Spent is what the late and overdue jobs spent their time on.
 	Spent map[Cause]time.Duration `json:"spent" yaml:"spent"`
+	// Bound is what any order could have brought to its end in time.
+	Bound Bound `json:"bound" yaml:"bound"`
 }
 
 // Summary sums up all jobs.
@@ -37,6 +39,7 @@
 	}
 	summary := Summary{Refusals: c.refusals, WithoutAcceptance: len(c.unaccepted)}
 	for _, q := range queues {
+		q.Bound = c.Bound(q.Queue)
 		summary.Queues = append(summary.Queues, *q)
 	}
 	slices.SortFunc(summary.Queues, func(x, y QueueSummary) int { return strings.Compare(x.Queue, y.Queue) })
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -134,8 +134,7 @@
 	}
 	e.published = e.progress.State
 	if e.published.Final() {
-		p.log("job ended", "job", e.spec.ID, "state", e.published, "after_ms", (p.now - e.submittedAt).Milliseconds(),
-			"objective_ms", p.objective(e).Milliseconds())
+		p.log("job ended", "job", e.spec.ID, "state", e.published, "after_ms", (p.now - e.submittedAt).Milliseconds())
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -144,7 +144,8 @@
 	}
 	if !recorded {
 		p.log("job accepted", "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "tasks", e.waiting,
-			"work_core_ms", p.remainingWork(e).Milliseconds(), "age_ms", age.Milliseconds())
+			"work_core_ms", p.remainingWork(e).Milliseconds(), "age_ms", age.Milliseconds(),
+			"objective_ms", p.objective(e).Milliseconds())
 	}
 	if p.pendingCancels[spec.ID] {
 		p.Cancel(spec.ID)
