--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -24,8 +24,17 @@
 	Need resource.Quantity
 	// Fails makes the task end as failed.
 	Fails bool
+	// Crashes makes the task crash its worker crashDelay after it has started.
+	Crashes bool
 }
 
+const (
+	// crashDelay is how long a task that crashes its worker runs before that.
+	crashDelay = 10 * time.Millisecond
+	// crashDowntime is how long the worker stays down after such a crash.
+	crashDowntime = 1500 * time.Millisecond
+)
+
 // Observer receives the events of workers. It is called with the worker's lock held, so it must not call the
 // worker.
 type Observer interface {
@@ -115,6 +124,10 @@
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.crashLocked()
+}
+
+func (w *Worker) crashLocked() {
 	for task, running := range w.runs {
 		running.timer.Stop()
 		w.config.Observer.Ended(w.config.ID, task, running.run, job.OutcomeLeaseExpired)
@@ -228,6 +241,9 @@
 	w.highestRuns[request.Task] = request.Run
 	running := &activeRun{run: request.Run, work: work}
 	running.timer = time.AfterFunc(work.Duration, func() { w.finishRun(request.Task, running) })
+	if work.Crashes {
+		running.timer.Reset(crashDelay)
+	}
 	w.runs[request.Task] = running
 	w.config.Observer.Started(w.config.ID, request.Task, request.Run)
 	return ""
@@ -240,6 +256,11 @@
 	if w.runs[task] != running {
 		return
 	}
+	if running.work.Crashes {
+		w.crashLocked()
+		time.AfterFunc(crashDowntime, w.Restart)
+		return
+	}
 	outcome := job.OutcomeDone
 	if running.work.Fails {
 		outcome = job.OutcomeFailed
