Give up a task that keeps crashing its workers

Callers saw: one task crashed worker after worker (BUDGET), each time with 3 to 70 runs of other jobs.

Cause: a run that is lost with its worker counted for nothing; only ends reported as failed did. The coordinator assigned the task again without limit.

Change: the agent reports the crash of its worker with the age of each lost run, in every report, so that a lost message or a new coordinator doesn't matter. The planner counts crashes in the job's record and blames those runs that had just started.

Why it works: the count is stored before the next start, and the next start can be told apart from its neighbours.

--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -46,6 +46,8 @@
 	// EndedAtMillis is the coordinator's wall clock time when the job reached a final state, in Unix
 	// milliseconds.
 	EndedAtMillis int64 `cbor:"3,keyasint,omitempty"`
+	// Crashes holds the tasks under which workers have crashed.
+	Crashes []TaskCrashes `cbor:"4,keyasint,omitempty"`
 }
 
 // NewProgress returns the progress of a job with no started task.
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -17,6 +17,9 @@
 		p.addAgent(a)
 	}
 	a.connected = true
+	if report.Crash != nil {
+		p.handleCrash(report.Agent, report.Crash)
+	}
 	a.ready = report.WorkerID != ""
 	if !a.ready {
 		return
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -90,7 +90,16 @@
 		if r.run().waitingSince == 0 {
 			r.run().waitingSince = p.now
 		}
+		suspected := p.suspected(r)
+		if suspected && p.now < c.entry.probationEnds {
+			state.nextChange = 0
+			continue
+		}
 		best := options.best(r)
+		if best == nil && suspected {
+			state.nextChange = 0
+			continue
+		}
 		if best == nil {
 			if (all || starving) && definition.MaxPerWorker == 0 {
 				blocked.add(key, p.now-r.run().waitingSince, len(options.list) == 0)
@@ -98,6 +107,11 @@
 			return
 		}
 		p.placeTask(r, best.agent)
+		if suspected {
+			p.beginProbation(r, best.agent)
+			options.remove(best)
+			continue
+		}
 		if starving {
 			// One throttled run is enough; the other tasks wait for capacity.
 			state.nextChange = 0
@@ -131,6 +145,7 @@
 	avoid, since := r.run().avoid, r.run().waitingSince
 	*r.run() = run{avoid: avoid, waitingSince: since}
 	p.addAssignment(r, a.incarnation)
+	a.lastPlacementAt = p.now
 	if a.failuresInRow >= suspectAfter {
 		a.probing = true
 	}
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -33,6 +33,9 @@
 	// submittedAt is when the job was submitted. It may be before the start of the planner's term.
 	submittedAt time.Duration
 
+	// probationEnds is until when no further suspected task of the job is started.
+	probationEnds time.Duration
+
 	dirty    bool
 	inFlight bool
 	// effects are applied after the next commit of the job.
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -89,6 +89,7 @@
 		lowest = -headroomSlackPerSecond * max(0, o.planner.now-r.run().waitingSince-fillerPatience).Seconds()
 	}
 	avoid := r.run().avoid
+	suspected := o.planner.suspected(r)
 	var best *option
 	var bestScore float64
 	for i := range o.list {
@@ -97,6 +98,12 @@
 			continue
 		}
 		score := candidate.score
+		if suspected {
+			if !o.planner.acceptsSuspect(r, candidate.agent) {
+				continue
+			}
+			score = o.planner.suspectScore(candidate.agent)
+		}
 		if avoid != "" && candidate.agent.name == avoid {
 			score -= avoidPenalty
 		}
@@ -111,9 +118,13 @@
 // if no further task fits.
 func (o *options) updateAfterPlacement(chosen *option) {
 	chosen.sameStep++
-	if o.rate(chosen) {
-		return
+	if !o.rate(chosen) {
+		o.remove(chosen)
 	}
+}
+
+// remove removes an option.
+func (o *options) remove(chosen *option) {
 	last := len(o.list) - 1
 	*chosen = o.list[last]
 	o.list = o.list[:last]
--- /dev/null
+++ b/internal/planner/probation.go
@@ -0,0 +1,47 @@
+package planner
+
+import (
+	"time"
+
+	"clementineflow/internal/job"
+)
+
+// A task that was blamed for a crash is suspected from then on. A suspected task starts on the worker with the fewest
+// runs on which nothing else has just started. For probationPeriod nothing else starts there, and no
+// other suspected task of its job anywhere. If it crashes the next worker too, few runs are lost and nothing else can be
+// the cause.
+
+// crashes returns the crashes that are recorded for the task.
+func (r ref) crashes() job.TaskCrashes { return r.entry.progress.CrashesOf(r.step, r.index) }
+
+// suspected reports whether a crash of a worker was blamed on the task.
+func (p *Planner) suspected(r ref) bool {
+	return len(r.entry.progress.Crashes) > 0 && r.crashes().Blamed > 0
+}
+
+const (
+	// probationPeriod is how long a suspected task starts alone. It is longer than startCrashWindow, since the start order
+	// reaches the worker later than it is sent.
+	probationPeriod = startCrashWindow + 100*time.Millisecond
+	// suspectPatience is how long a suspected task waits for a worker on which nothing else has just started.
+	suspectPatience = time.Second
+)
+
+// acceptsSuspect reports whether a suspected task may start on the worker now.
+func (p *Planner) acceptsSuspect(r ref, a *agent) bool {
+	quiet := a.lastPlacementAt == 0 || p.now-a.lastPlacementAt >= probationPeriod
+	return quiet || p.now-r.run().waitingSince >= suspectPatience
+}
+
+// suspectScore rates a worker for a suspected task: a crash there should end few runs.
+func (p *Planner) suspectScore(a *agent) float64 {
+	return -float64(len(p.runsByIncarnation[a.incarnation]))
+}
+
+// beginProbation keeps other starts away from the worker of a suspected task, and other suspected tasks of its job
+// from all workers, until the task has survived its start.
+func (p *Planner) beginProbation(r ref, a *agent) {
+	until := p.now + probationPeriod
+	a.penaltyEnds = max(a.penaltyEnds, until)
+	r.entry.probationEnds = max(r.entry.probationEnds, until)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -37,6 +37,9 @@
 	// searchID is the number of the latest search that considered the worker.
 	searchID uint64
 
+	// lastPlacementAt is when a task was last assigned to the worker, or zero.
+	lastPlacementAt time.Duration
+
 	penaltyEnds   time.Duration
 	failuresInRow int
 	suspectEnds   time.Duration
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -68,7 +68,11 @@
 	snapshotClock time.Duration
 	answeredAt    time.Duration
 	refusedSince  time.Duration
-	pacer         pacer
+	// failingSince is when the first call failed since the worker's last answer, or zero.
+	failingSince time.Duration
+	// crash is the latest crash of the worker, or nil. It is part of each report, since a report can be lost.
+	crash *wire.WorkerCrash
+	pacer pacer
 	// serving holds the runs with a latency target in the latest snapshot.
 	serving []servingRun
 	// wake is closed to make the poll loop continue at once.
@@ -91,6 +95,8 @@
 	startOrder *wire.StartRun
 	// startedAt is the worker's clock at its confirmation of the start.
 	startedAt time.Duration
+	// startSentAt is when the first start call was sent, or zero if the agent sent none.
+	startSentAt time.Duration
 }
 
 // New returns an agent without a worker; UpdateStatus sets the worker.
--- /dev/null
+++ b/internal/runner/crash.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"clementineflow/internal/wire"
+)
+
+// unknownAge is the reported age of a run whose start the agent has not seen.
+const unknownAge = -1
+
+// markStartSent records when the first start call of a run is sent.
+func (a *Agent) markStartSent(local *localRun) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if local.startSentAt == 0 {
+		local.startSentAt = a.config.Now()
+	}
+}
+
+// clearStartSent records that no start call of a run has reached the worker.
+func (a *Agent) clearStartSent(local *localRun) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	local.startSentAt = 0
+}
+
+// markFailingLocked records the first failed call since the worker's last answer.
+func (a *Agent) markFailingLocked(now time.Duration) {
+	if a.failingSince == 0 {
+		a.failingSince = now
+	}
+}
+
+// recordCrashLocked records a crash of the current incarnation of the worker with the runs that it ended. It does
+// nothing if the worker had announced its end, or if no run was on it.
+func (a *Agent) recordCrashLocked() {
+	if a.worker.Leaving || a.workerLost || !a.snapshotTaken {
+		return
+	}
+	crash := &wire.WorkerCrash{WorkerID: a.worker.ID, Incarnation: a.worker.Incarnation, Runs: a.crashedRunsLocked()}
+	if len(crash.Runs) == 0 {
+		return
+	}
+	a.crash = crash
+	a.config.Logger.Warn("worker crashed", "worker", a.worker.ID, "runs", len(crash.Runs),
+		"youngest", crash.Runs[0].Task, "youngest_age_ms", crash.Runs[0].AgeMillis)
+}
+
+// crashedRunsLocked returns the runs that a crash of the worker has ended, the youngest first and those of unknown age
+// last.
+func (a *Agent) crashedRunsLocked() []wire.CrashedRun {
+	failedAt := a.failingSince
+	if failedAt == 0 {
+		failedAt = a.config.Now()
+	}
+	var runs []wire.CrashedRun
+	for task, local := range a.runs {
+		switch {
+		case local.startSentAt > 0:
+			age := max(0, failedAt-local.startSentAt)
+			runs = append(runs, wire.CrashedRun{Task: task, Run: local.run, AgeMillis: age.Milliseconds()})
+		case local.startConfirmed:
+			runs = append(runs, wire.CrashedRun{Task: task, Run: local.run, AgeMillis: unknownAge})
+		}
+	}
+	slices.SortFunc(runs, func(x, y wire.CrashedRun) int {
+		return cmp.Or(cmp.Compare(uint64(x.AgeMillis), uint64(y.AgeMillis)), cmp.Compare(x.Task, y.Task))
+	})
+	return runs
+}
--- /dev/null
+++ b/internal/runner/crash_test.go
@@ -0,0 +1,91 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/runner"
+	"clementineflow/internal/standin/jobworker"
+	"clementineflow/internal/wire"
+)
+
+// receiveCrash waits for a report of a crash.
+func receiveCrash(t *testing.T, conn link.Conn) *wire.WorkerCrash {
+	t.Helper()
+	for {
+		message := receiveMessage(t, conn, wire.KindRunProgress, wire.KindRunAbsent, wire.KindRunEnded)
+		if report, ok := message.(*wire.AgentReport); ok && report.Crash != nil {
+			return report.Crash
+		}
+	}
+}
+
+// startBeforeCrash starts a run, and crashes its worker after the given time.
+func startBeforeCrash(is *is.I, conn link.Conn, w *jobworker.Worker, after time.Duration) {
+	lastPing := waitForReport(is, conn)
+	is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
+	synctest.Wait()
+	time.Sleep(after)
+	w.Crash()
+}
+
+// TestCrashReportNamesTheAgeOfRuns guards against a coordinator that can't tell which of the lost runs had just
+// started.
+func TestCrashReportNamesTheAgeOfRuns(t *testing.T) {
+	runWithAgentLink(t, func(is *is.I, conn link.Conn, w *jobworker.Worker) {
+		startBeforeCrash(is, conn, w, 30*time.Millisecond)
+		crash := receiveCrash(t, conn)
+		is.Equal(crash.WorkerID, "w")
+		is.Equal(len(crash.Runs), 1)
+		is.Equal(crash.Runs[0].Task, testTask)
+		is.True(crash.Runs[0].AgeMillis >= 30 && crash.Runs[0].AgeMillis < 130)
+	})
+}
+
+// TestCrashIsReportedWithTheNextIncarnation guards against a crash that stays unknown because the worker is back before
+// it has refused connections for long, and against one that a later link is not told of.
+func TestCrashIsReportedWithTheNextIncarnation(t *testing.T) {
+	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		startBeforeCrash(is, conn, w, 10*time.Millisecond)
+		w.Restart()
+		status, _ := w.Describe("north", 1)
+		is.True(agent.UpdateStatus(status))
+		is.Equal(receiveCrash(t, conn).Incarnation, int64(1))
+		conn.Close()
+		next, agentEnd := link.Pipe()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go agent.ServeLink(ctx, agentEnd)
+		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		is.Equal(receiveCrash(t, next).Runs[0].Task, testTask)
+		next.Close()
+	})
+}
+
+// TestPlannedEndIsNoCrash guards against tasks that are blamed for the end of a worker that had announced it.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		lastPing := waitForReport(is, conn)
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
+		synctest.Wait()
+		leaving, _ := w.Describe("north", 2)
+		leaving.Leaving, leaving.Remaining = true, time.Second
+		is.True(agent.UpdateStatus(leaving))
+		w.Crash()
+		for range 4 {
+			message := receiveMessage(t, conn, wire.KindRunProgress)
+			if report, ok := message.(*wire.AgentReport); ok {
+				is.Equal(report.Crash, nil)
+			}
+			if _, ok := message.(*wire.RunAbsent); ok {
+				return
+			}
+		}
+		t.Error("the lost run was not reported")
+	})
+}
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -39,6 +39,7 @@
 	if a.worker.ID != "" {
 		a.incarnations++
 	}
+	a.recordCrashLocked()
 	a.worker = WorkerStatus{ID: d.ID, Incarnation: d.Incarnation}
 	a.resetIncarnationLocked()
 	// Nothing can start before the first snapshot of the new incarnation; an incomplete report tells the
@@ -53,7 +54,7 @@
 	a.ends = newEndList()
 	a.absent = map[string]uint32{}
 	a.snapshotTaken, a.workerLost, a.incarnationVerified = false, false, false
-	a.snapshotClock, a.refusedSince = 0, 0
+	a.snapshotClock, a.refusedSince, a.failingSince = 0, 0, 0
 	a.answeredAt = a.config.Now()
 	a.pacer.resetRuns()
 	a.serving = nil
@@ -75,11 +76,12 @@
 // lease has ended.
 func (a *Agent) reportWorkerLostLocked(reason string) {
 	a.workerLost = true
+	// The report comes first: the coordinator takes the runs from it that the crash of the worker ended.
+	a.sendReportLocked()
 	for task, local := range a.runs {
 		a.sendRunAbsentLocked(task, local.run, reason)
 	}
 	a.runs = map[string]*localRun{}
-	a.sendReportLocked()
 }
 
 // sendRunAbsentLocked tells the coordinator that a run is not on the worker and will never start there.
@@ -94,7 +96,7 @@
 	if a.conn == nil {
 		return
 	}
-	report := &wire.AgentReport{Agent: a.config.Name}
+	report := &wire.AgentReport{Agent: a.config.Name, Crash: a.crash}
 	if a.worker.ID != "" && a.snapshotTaken && !a.workerLost {
 		report = a.buildReportLocked()
 		a.restarted = false
@@ -108,7 +110,7 @@
 		Agent: a.config.Name, WorkerID: a.worker.ID, Incarnation: a.worker.Incarnation,
 		Service: a.worker.Service, Zone: a.worker.Zone, Capacity: a.worker.Capacity, Labels: a.worker.Labels,
 		Leaving: a.worker.Leaving, RemainingMillis: a.worker.Remaining.Milliseconds(),
-		Ends: a.ends.unconfirmedRows(), Complete: true, Restarted: a.restarted,
+		Ends: a.ends.unconfirmedRows(), Complete: true, Restarted: a.restarted, Crash: a.crash,
 	}
 	for task, local := range a.runs {
 		row := local.row
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -96,6 +96,7 @@
 	defer a.mu.Unlock()
 	now := a.config.Now()
 	a.incarnationVerified = false
+	a.markFailingLocked(now)
 	if !errors.Is(err, ErrNotSent) {
 		a.refusedSince = 0
 	} else if a.refusedSince == 0 {
@@ -107,6 +108,7 @@
 	switch {
 	case a.refusedSince != 0 && now-a.refusedSince > refusedTimeout:
 		a.config.Logger.Warn("worker refuses connections", "worker", a.worker.ID, "runs", len(a.runs))
+		a.recordCrashLocked()
 		a.reportWorkerLostLocked(reasonRefused)
 	case now > a.lease.endsBy && now-a.answeredAt > noAnswerTimeout:
 		a.config.Logger.Warn("worker does not answer and its lease has ended", "worker", a.worker.ID, "runs", len(a.runs), "error", err)
@@ -133,7 +135,7 @@
 		return false
 	}
 	now := a.config.Now()
-	a.answeredAt, a.refusedSince, a.incarnationVerified = now, 0, true
+	a.answeredAt, a.refusedSince, a.failingSince, a.incarnationVerified = now, 0, 0, true
 	a.lease.observeClock(snapshot.Clock, now)
 	added := a.addEndsLocked(snapshot.Ends)
 	foundRun := false
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -139,6 +139,7 @@
 	case !verified:
 		return reasonRetry
 	}
+	a.markStartSent(local)
 	callCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	reply, err := a.config.Worker.StartRun(callCtx, request)
@@ -161,6 +162,9 @@
 	case errors.Is(err, ErrUnhealthy):
 		return reasonRetry
 	case errors.Is(err, ErrNotSent):
+		if !*unanswered {
+			a.clearStartSent(local)
+		}
 		a.markUnverified()
 		return reasonRetry
 	default:
@@ -177,6 +181,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.incarnationVerified = false
+	a.markFailingLocked(a.config.Now())
 }
 
 // isIncarnationVerified reports whether the latest call reached the known incarnation of the worker.
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -106,27 +106,13 @@
 	Complete bool `cbor:"12,keyasint,omitempty"`
 	// Restarted is set if the agent has restarted and lost the attributes of the runs.
 	Restarted bool `cbor:"13,keyasint,omitempty"`
+	// Crash is the latest crash of the worker, or nil if the agent has seen none.
+	Crash *WorkerCrash `cbor:"14,keyasint,omitempty"`
 }
 
 // Kind implements Message.
 func (*AgentReport) Kind() Kind { return KindAgentReport }
 
-// AgentPing asks the coordinator to extend the agent's authority to renew the lease of its runs.
-type AgentPing struct {
-	Sequence uint64 `cbor:"1,keyasint"`
-}
-
-// Kind implements Message.
-func (*AgentPing) Kind() Kind { return KindAgentPing }
-
-// PingReply extends the agent's authority. The extension is counted from the time the ping was sent.
-type PingReply struct {
-	Sequence uint64 `cbor:"1,keyasint"`
-}
-
-// Kind implements Message.
-func (*PingReply) Kind() Kind { return KindPingReply }
-
 // StartRun orders the start of a run.
 type StartRun struct {
 	Task string `cbor:"1,keyasint"`
