Don't repeat a start order on a worker that has shrunk

Cause: a start order that was lost with a link was sent again at the next report of its agent, without a look at the capacity in that report. The planner checked the capacity only when it assigned the run.

Change: such a run is stopped instead, so that it is assigned elsewhere. Assignments already followed a changed capacity, in both directions.

--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -64,14 +64,11 @@
 	if a.suspected(o.planner.now) {
 		return false
 	}
-	need := definition.Need
-	if definition.Filler {
-		if !o.allowThrottled && float64(a.idleCPU()) < minFillerIdleShare*float64(need.MilliCPU) {
-			return false
-		}
-		need.MilliCPU = 0
+	idle := float64(a.idleCPU())
+	if definition.Filler && !o.allowThrottled && idle < minFillerIdleShare*float64(definition.Need.MilliCPU) {
+		return false
 	}
-	if !need.FitsIn(a.free()) {
+	if !reservedNeed(definition).FitsIn(a.free()) {
 		return false
 	}
 	if definition.Filler {
--- a/internal/planner/reconcile.go
+++ b/internal/planner/reconcile.go
@@ -35,7 +35,8 @@
 }
 
 // resendOrder sends the latest order for a run again. A run that the operator's configuration no longer
-// allows on the worker is stopped instead, so that it can be assigned to another worker.
+// allows on the worker, or for which the worker has become too small, is stopped instead, so that it can be assigned to
+// another worker.
 func (p *Planner) resendOrder(r ref, a *agent) {
 	switch {
 	case r.entry.progress.State.Final() || r.run().stopping:
@@ -45,11 +46,26 @@
 	case !p.allowed(r.entry, r.step, a):
 		p.log("assigned run is no longer allowed on its worker", "task", r.name(), "run", r.task().Run, "agent", a.name, "zone", a.zone)
 		p.sendStop(r)
+	case !p.startFits(a):
+		p.log("assigned run no longer fits on its worker", "task", r.name(), "run", r.task().Run, "agent", a.name, "capacity_milli_cpu", a.capacity.MilliCPU)
+		p.sendStop(r)
 	default:
 		p.sendStart(r)
 	}
 }
 
+// startFits reports whether all runs that are, or are to be started, on the worker fit in its capacity, which can have
+// shrunk since they were assigned.
+func (p *Planner) startFits(a *agent) bool {
+	used := a.reserved
+	for r := range p.runsByIncarnation[a.incarnation] {
+		if r.run().stopping && !r.run().reported {
+			used = used.Sub(reservedNeed(r.definition()))
+		}
+	}
+	return used.FitsIn(a.capacity)
+}
+
 // reconcileRun updates a reported run and returns its task. It orders the worker to stop a run that is not
 // assigned to it, and then returns false.
 func (p *Planner) reconcileRun(a *agent, row *wire.RunRow, restarted bool) (ref, bool) {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -54,13 +54,12 @@
 
 // reserve adds a task's need if sign is 1, or releases it if sign is -1.
 func (a *agent) reserve(step *job.Step, sign int64) {
-	need := step.Need
+	need := reservedNeed(step)
 	if step.Filler || step.LatencyTarget > 0 {
 		a.neighbours.stale = true
 	}
 	if step.Filler {
-		a.fillerCPU += sign * need.MilliCPU
-		need.MilliCPU = 0
+		a.fillerCPU += sign * step.Need.MilliCPU
 	}
 	if step.LatencyTarget > 0 {
 		a.servingCPU += sign * need.MilliCPU
@@ -72,6 +71,15 @@
 	}
 }
 
+// reservedNeed returns what one task of the step reserves on its worker: a filler reserves no processors.
+func reservedNeed(step *job.Step) resource.Quantity {
+	need := step.Need
+	if step.Filler {
+		need.MilliCPU = 0
+	}
+	return need
+}
+
 // free returns the capacity that is not reserved.
 func (a *agent) free() resource.Quantity { return a.capacity.Sub(a.reserved) }
 
