Let four suspected tasks of a job start at a time

A wide job of which ten tasks had just started when their worker crashed would have waited for seconds, whoever caused the crash.

Change: four of them may be on probation at a time, each on a worker of its own. A stored count for a task that the job doesn't have makes the record invalid instead of stopping the coordinator.

--- a/internal/job/crashes.go
+++ b/internal/job/crashes.go
@@ -13,6 +13,11 @@
 	Blamed uint16
 }
 
+// within reports whether the job has the task.
+func (c *TaskCrashes) within(spec *Spec) bool {
+	return c.Step >= 0 && c.Step < len(spec.Steps) && c.Index >= 0 && c.Index < spec.Steps[c.Step].Count
+}
+
 // CrashesOf returns the crashes of a task's workers. They are all zero if none is recorded.
 func (p *Progress) CrashesOf(step, index int) TaskCrashes {
 	for _, crashes := range p.Crashes {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -59,7 +59,8 @@
 	return p
 }
 
-// Matches reports whether the progress has the same numbers of steps and tasks as the job.
+// Matches reports whether the progress has the same numbers of steps and tasks as the job, and counts crashes only for
+// tasks of the job.
 func (p *Progress) Matches(spec *Spec) bool {
 	if len(p.Steps) != len(spec.Steps) {
 		return false
@@ -69,6 +70,11 @@
 			return false
 		}
 	}
+	for i := range p.Crashes {
+		if !p.Crashes[i].within(spec) {
+			return false
+		}
+	}
 	return true
 }
 
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -91,7 +91,7 @@
 			r.run().waitingSince = p.now
 		}
 		suspected := p.suspected(r)
-		if suspected && p.now < c.entry.probationEnds {
+		if suspected && p.activeProbations(c.entry) >= maxJobProbations {
 			state.nextChange = 0
 			continue
 		}
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -179,6 +179,23 @@
 	is.True(len(p.runsByIncarnation[task.Worker]) > before)
 }
 
+// TestFewSuspectedTasksOfAJobStartAtOnce guards against a job all of whose tasks crash their workers, and takes all
+// workers down at once when they are started again.
+func TestFewSuspectedTasksOfAJobStartAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(8)
+	addJob(p, "deadly", "q", job.Step{Count: 16})
+	commit(p)
+	for i := range 8 {
+		crashWorker(p, i, func(string) time.Duration { return 10 * time.Millisecond })
+	}
+	p.Advance(p.now + time.Second)
+	commit(p)
+	is.Equal(p.jobs["deadly"].assigned, maxJobProbations)
+	advance(p, 10*time.Second)
+	is.Equal(p.jobs["deadly"].assigned, 16)
+}
+
 // TestCrashIsCountedOnce guards against a task that is given up because reports of one crash are repeated, on one
 // coordinator or on the next.
 func TestCrashIsCountedOnce(t *testing.T) {
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -33,9 +33,6 @@
 	// submittedAt is when the job was submitted. It may be before the start of the planner's term.
 	submittedAt time.Duration
 
-	// probationEnds is until when no further suspected task of the job is started.
-	probationEnds time.Duration
-
 	dirty    bool
 	inFlight bool
 	// effects are applied after the next commit of the job.
@@ -67,6 +64,8 @@
 	load float64
 	// waitingSince is when the planner first tried to assign the run, or zero before that.
 	waitingSince time.Duration
+	// probationEnds is until when a suspected task runs alone, or zero if it is not suspected.
+	probationEnds time.Duration
 	// avoid is the agent whose worker gets a lower score for the next run, as the previous run failed, was
 	// refused or was moved away there.
 	avoid string
--- a/internal/planner/probation.go
+++ b/internal/planner/probation.go
@@ -7,9 +7,9 @@
 )
 
 // A task that was blamed for a crash is suspected from then on. A suspected task starts on the worker with the fewest
-// runs on which nothing else has just started. For probationPeriod nothing else starts there, and no
-// other suspected task of its job anywhere. If it crashes the next worker too, few runs are lost and nothing else can be
-// the cause.
+// runs on which nothing else has just started. For probationPeriod nothing else starts there, and only
+// few other suspected tasks of its job elsewhere. If it crashes the next worker too, few runs are lost and nothing else
+// can be the cause.
 
 // crashes returns the crashes that are recorded for the task.
 func (r ref) crashes() job.TaskCrashes { return r.entry.progress.CrashesOf(r.step, r.index) }
@@ -25,8 +25,22 @@
 	probationPeriod = startCrashWindow + 100*time.Millisecond
 	// suspectPatience is how long a suspected task waits for a worker on which nothing else has just started.
 	suspectPatience = time.Second
+	// maxJobProbations is the number of suspected tasks of one job that start at a time. All tasks of a job can crash
+	// their workers.
+	maxJobProbations = 4
 )
 
+// activeProbations returns the number of suspected tasks of the job that are on probation.
+func (p *Planner) activeProbations(e *entry) int {
+	active := 0
+	for _, crashes := range e.progress.Crashes {
+		if e.runs[crashes.Step][crashes.Index].probationEnds > p.now {
+			active++
+		}
+	}
+	return active
+}
+
 // acceptsSuspect reports whether a suspected task may start on the worker now.
 func (p *Planner) acceptsSuspect(r ref, a *agent) bool {
 	quiet := a.lastPlacementAt == 0 || p.now-a.lastPlacementAt >= probationPeriod
@@ -38,10 +52,8 @@
 	return -float64(len(p.runsByIncarnation[a.incarnation]))
 }
 
-// beginProbation keeps other starts away from the worker of a suspected task, and other suspected tasks of its job
-// from all workers, until the task has survived its start.
+// beginProbation keeps other starts away from the worker of a suspected task until it has survived its start.
 func (p *Planner) beginProbation(r ref, a *agent) {
-	until := p.now + probationPeriod
-	a.penaltyEnds = max(a.penaltyEnds, until)
-	r.entry.probationEnds = max(r.entry.probationEnds, until)
+	r.run().probationEnds = p.now + probationPeriod
+	a.penaltyEnds = max(a.penaltyEnds, r.run().probationEnds)
 }
