--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"clementineflow/internal/job"
+	"clementineflow/internal/resource"
 	"clementineflow/internal/wire"
 )
 
@@ -151,26 +152,15 @@
 	return p.now - r.run().startedAt
 }
 
-// TestSuspectedTaskStartsAlone guards against a second crash that can't be blamed on one task, and takes many runs
-// along.
+// TestSuspectedTaskStartsAlone guards against a second crash that can't be blamed on one task.
 func TestSuspectedTaskStartsAlone(t *testing.T) {
 	is := is.New(t)
 	p := startDeadly(3)
 	is.True(crashUnder(p, deadlyTask, youngIfDeadly))
-	advance(p, time.Second)
-	task, _ := p.Task(deadlyTask)
-	is.Equal(task.Phase, job.PhaseAssigned)
-	worker := p.agents[task.Worker.Agent]
-	for _, other := range p.workers {
-		is.True(len(p.runsByIncarnation[worker.incarnation]) <= len(p.runsByIncarnation[other.incarnation])+1)
-	}
-
-	p = startDeadly(3)
-	is.True(crashUnder(p, deadlyTask, youngIfDeadly))
 	for p.jobs["deadly"].assigned == 0 {
 		advance(p, 50*time.Millisecond)
 	}
-	task, _ = p.Task(deadlyTask)
+	task, _ := p.Task(deadlyTask)
 	before := len(p.runsByIncarnation[task.Worker])
 	addJob(p, "later", "q", job.Step{Count: 8})
 	commit(p)
@@ -179,6 +169,35 @@
 	is.True(len(p.runsByIncarnation[task.Worker]) > before)
 }
 
+// TestSuspectedTaskStartsWhereFewRunsAreLost guards against a second crash that ends many runs although a worker with
+// few was free, and against a start beside runs that have just started.
+func TestSuspectedTaskStartsWhereFewRunsAreLost(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(3)
+	addJob(p, "deadly", "q", job.Step{Count: 1})
+	commit(p)
+	is.True(crashUnder(p, deadlyTask, youngIfDeadly))
+	for i, runs := range []int{0, 2, 1} {
+		for range runs {
+			p.addAssignment(longRun(p), p.agents[agentName(i)].incarnation)
+		}
+	}
+	p.agents[agentName(0)].lastPlacementAt = p.now
+	p.Advance(p.now + 50*time.Millisecond)
+	commit(p)
+	task, _ := p.Task(deadlyTask)
+	is.Equal(task.Worker.Agent, agentName(2))
+}
+
+// longRun returns the task of a new job with a long-running task, which takes little room.
+func longRun(p *Planner) ref {
+	id := fmt.Sprintf("long-%d", len(p.jobs))
+	addJob(p, id, "urgent", job.Step{Count: 1, LongRunning: true, Need: resource.Quantity{MilliCPU: 100}})
+	r := ref{entry: p.jobs[id]}
+	r.entry.setPhase(r, job.PhaseAssigned)
+	return r
+}
+
 // TestFewSuspectedTasksOfAJobStartAtOnce guards against a job all of whose tasks crash their workers, and takes all
 // workers down at once when they are started again.
 func TestFewSuspectedTasksOfAJobStartAtOnce(t *testing.T) {
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -14,13 +14,44 @@
 	"clementineflow/internal/wire"
 )
 
-// receiveCrash waits for a report of a crash.
+// maxCrashReportDelay is how long after a crash its report may be missing.
+const maxCrashReportDelay = 10 * time.Second
+
+// receiveCrash answers pings until a report of a crash arrives, and returns the crash.
 func receiveCrash(t *testing.T, conn link.Conn) *wire.WorkerCrash {
 	t.Helper()
+	for deadline := time.Now().Add(maxCrashReportDelay); time.Now().Before(deadline); {
+		message, err := conn.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch message := message.(type) {
+		case *wire.AgentPing:
+			if err := conn.Send(&wire.PingReply{Sequence: message.Sequence}); err != nil {
+				t.Fatal(err)
+			}
+		case *wire.AgentReport:
+			if message.Crash != nil {
+				return message.Crash
+			}
+		}
+	}
+	t.Fatal("the crash was not reported")
+	return nil
+}
+
+// receiveCompleteReport answers pings until a complete report arrives, and returns it.
+func receiveCompleteReport(is *is.I, conn link.Conn) *wire.AgentReport {
 	for {
-		message := receiveMessage(t, conn, wire.KindRunProgress, wire.KindRunAbsent, wire.KindRunEnded)
-		if report, ok := message.(*wire.AgentReport); ok && report.Crash != nil {
-			return report.Crash
+		message, err := conn.Receive()
+		is.NoErr(err)
+		switch message := message.(type) {
+		case *wire.AgentPing:
+			is.NoErr(conn.Send(&wire.PingReply{Sequence: message.Sequence}))
+		case *wire.AgentReport:
+			if message.Complete {
+				return message
+			}
 		}
 	}
 }
@@ -62,7 +93,7 @@
 		defer cancel()
 		go agent.ServeLink(ctx, agentEnd)
 		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
-		is.Equal(receiveCrash(t, next).Runs[0].Task, testTask)
+		is.Equal(receiveCompleteReport(is, next).Crash.Runs[0].Task, testTask)
 		next.Close()
 	})
 }
--- a/test/jobs/crash_test.go
+++ b/test/jobs/crash_test.go
@@ -23,7 +23,7 @@
 
 // runWithCrashingTask submits a job with one task that crashes its workers among other jobs, and checks that only
 // this job is given up, in time.
-func runWithCrashingTask(t *testing.T, disturb func(r *region)) {
+func runWithCrashingTask(t *testing.T, disturb func(r *region, starts *atomic.Int32)) {
 	t.Helper()
 	runInRegion(t, func(is *is.I, r *region) {
 		var crashingStarts atomic.Int32
@@ -41,7 +41,7 @@
 				is.Equal(r.submit(r.leader(), newSpec(crashingJob, 3)), gateway.Accepted)
 			}
 		}
-		disturb(r)
+		disturb(r, &crashingStarts)
 		time.Sleep(40 * time.Second)
 		starts := crashingStarts.Load()
 		if starts > maxCrashingStarts {
@@ -59,18 +59,22 @@
 }
 
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
-	runWithCrashingTask(t, func(*region) {})
+	runWithCrashingTask(t, func(*region, *atomic.Int32) {})
 }
 
-// TestCrashesAreCountedAcrossCoordinators guards against a count of crashes that a new coordinator begins anew.
+// TestCrashesAreCountedAcrossCoordinators guards against a count of crashes that a new coordinator begins anew: each is
+// killed after one crash.
 func TestCrashesAreCountedAcrossCoordinators(t *testing.T) {
-	runWithCrashingTask(t, func(r *region) {
-		for range 3 {
-			time.Sleep(2500 * time.Millisecond)
+	runWithCrashingTask(t, func(r *region, starts *atomic.Int32) {
+		const kills = 8
+		for seed := range uint64(kills) {
+			for before, waited := starts.Load(), 0; starts.Load() == before && waited < 100; waited++ {
+				time.Sleep(50 * time.Millisecond)
+			}
 			leader := r.leader()
 			leader.kill()
-			time.Sleep(3 * time.Second)
-			leader.start(7)
+			time.Sleep(2 * time.Second)
+			leader.start(seed)
 		}
 	})
 }
