--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -46,7 +46,7 @@
 	// EndedAtMillis is the coordinator's wall clock time when the job reached a final state, in Unix
 	// milliseconds.
 	EndedAtMillis int64 `cbor:"3,keyasint,omitempty"`
-	// Crashes holds the tasks under which workers have crashed.
+	// Crashes counts the crashes of workers for each task under which one has crashed.
 	Crashes []TaskCrashes `cbor:"4,keyasint,omitempty"`
 }
 
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -90,16 +90,11 @@
 		if r.run().waitingSince == 0 {
 			r.run().waitingSince = p.now
 		}
-		suspected := p.suspected(r)
-		if suspected && p.activeProbations(c.entry) >= maxJobProbations {
-			state.nextChange = 0
+		if p.suspected(r) {
+			p.assignSuspected(r, options)
 			continue
 		}
 		best := options.best(r)
-		if best == nil && suspected {
-			state.nextChange = 0
-			continue
-		}
 		if best == nil {
 			if (all || starving) && definition.MaxPerWorker == 0 {
 				blocked.add(key, p.now-r.run().waitingSince, len(options.list) == 0)
@@ -107,11 +102,6 @@
 			return
 		}
 		p.placeTask(r, best.agent)
-		if suspected {
-			p.beginProbation(r, best.agent)
-			options.remove(best)
-			continue
-		}
 		if starving {
 			// One throttled run is enough; the other tasks wait for capacity.
 			state.nextChange = 0
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -1,6 +1,10 @@
 package planner
 
-import "clementineflow/internal/job"
+import (
+	"slices"
+
+	"clementineflow/internal/job"
+)
 
 // option is a worker on which a task of a step may be placed.
 type option struct {
@@ -86,7 +90,6 @@
 		lowest = -headroomSlackPerSecond * max(0, o.planner.now-r.run().waitingSince-fillerPatience).Seconds()
 	}
 	avoid := r.run().avoid
-	suspected := o.planner.suspected(r)
 	var best *option
 	var bestScore float64
 	for i := range o.list {
@@ -95,12 +98,6 @@
 			continue
 		}
 		score := candidate.score
-		if suspected {
-			if !o.planner.acceptsSuspect(r, candidate.agent) {
-				continue
-			}
-			score = o.planner.suspectScore(candidate.agent)
-		}
 		if avoid != "" && candidate.agent.name == avoid {
 			score -= avoidPenalty
 		}
@@ -115,18 +112,19 @@
 // if no further task fits.
 func (o *options) updateAfterPlacement(chosen *option) {
 	chosen.sameStep++
-	if !o.rate(chosen) {
-		o.remove(chosen)
+	if o.rate(chosen) {
+		return
 	}
-}
-
-// remove removes an option.
-func (o *options) remove(chosen *option) {
 	last := len(o.list) - 1
 	*chosen = o.list[last]
 	o.list = o.list[:last]
 }
 
+// removeAgent removes the option of an agent's worker.
+func (o *options) removeAgent(a *agent) {
+	o.list = slices.DeleteFunc(o.list, func(candidate option) bool { return candidate.agent == a })
+}
+
 // perWorker counts the assigned tasks of a step by agent.
 func (p *Planner) perWorker(e *entry, step int) map[*agent]int {
 	counts := map[*agent]int{}
--- a/internal/planner/probation.go
+++ b/internal/planner/probation.go
@@ -30,6 +30,32 @@
 	maxJobProbations = 4
 )
 
+// assignSuspected assigns a suspected task if a worker accepts it now. Otherwise the next pass tries its step again.
+func (p *Planner) assignSuspected(r ref, options *options) {
+	best := p.optionsForSuspected(r, options).best(r)
+	if best == nil || p.activeProbations(r.entry) >= maxJobProbations {
+		r.entry.steps[r.step].nextChange = 0
+		return
+	}
+	p.placeTask(r, best.agent)
+	p.beginProbation(r, best.agent)
+	options.removeAgent(best.agent)
+}
+
+// optionsForSuspected returns those options that accept a suspected task now, rated for it.
+func (p *Planner) optionsForSuspected(r ref, all *options) *options {
+	accepting := *all
+	accepting.list = nil
+	for _, candidate := range all.list {
+		if !p.acceptsSuspected(r, candidate.agent) {
+			continue
+		}
+		candidate.score = p.suspectedScore(candidate.agent)
+		accepting.list = append(accepting.list, candidate)
+	}
+	return &accepting
+}
+
 // activeProbations returns the number of suspected tasks of the job that are on probation.
 func (p *Planner) activeProbations(e *entry) int {
 	active := 0
@@ -41,14 +67,14 @@
 	return active
 }
 
-// acceptsSuspect reports whether a suspected task may start on the worker now.
-func (p *Planner) acceptsSuspect(r ref, a *agent) bool {
+// acceptsSuspected reports whether a suspected task may start on the worker now.
+func (p *Planner) acceptsSuspected(r ref, a *agent) bool {
 	quiet := a.lastPlacementAt == 0 || p.now-a.lastPlacementAt >= probationPeriod
 	return quiet || p.now-r.run().waitingSince >= suspectPatience
 }
 
-// suspectScore rates a worker for a suspected task: a crash there should end few runs.
-func (p *Planner) suspectScore(a *agent) float64 {
+// suspectedScore rates a worker for a suspected task: a crash there should end few runs.
+func (p *Planner) suspectedScore(a *agent) float64 {
 	return -float64(len(p.runsByIncarnation[a.incarnation]))
 }
 
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -76,7 +76,7 @@
 // lease has ended.
 func (a *Agent) reportWorkerLostLocked(reason string) {
 	a.workerLost = true
-	// The report comes first: the coordinator takes the runs from it that the crash of the worker ended.
+	// The report comes first: the coordinator counts a crash for the runs that are still assigned.
 	a.sendReportLocked()
 	for task, local := range a.runs {
 		a.sendRunAbsentLocked(task, local.run, reason)
