--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -24,6 +24,7 @@
 func (noopObserver) Started(string, string, uint32)                      {}
 func (noopObserver) Ended(string, string, uint32, job.Outcome)           {}
 func (noopObserver) Confirmed(string, string, uint32, job.Outcome, bool) {}
+func (noopObserver) Crashed(string, string, uint32)                      {}
 
 const (
 	testTask     = "5c0e7a21d94b36f8.0.0.0"
--- a/internal/standin/jobworker/ledger.go
+++ b/internal/standin/jobworker/ledger.go
@@ -22,7 +22,9 @@
 	// doneConfirmed holds the tasks whose end as done was confirmed before the worker's lease ended.
 	doneConfirmed map[string]bool
 	failed        map[string]int
-	starts        int
+	// crashes counts the crashes of workers by the task that ran there.
+	crashes map[string]int
+	starts  int
 	// StartsOn counts the starts by worker.
 	StartsOn map[string]int
 	// Violations lists the violations, one message each.
@@ -46,7 +48,7 @@
 	return &EventRecorder{
 		Running: map[string]map[string]bool{}, LastStart: map[string]time.Time{}, DoneAt: map[string]time.Time{},
 		runDoneAt: map[runKey]time.Time{}, StartsOn: map[string]int{},
-		doneConfirmed: map[string]bool{}, failed: map[string]int{}, Specs: map[string]*job.Spec{},
+		doneConfirmed: map[string]bool{}, failed: map[string]int{}, crashes: map[string]int{}, Specs: map[string]*job.Spec{},
 		Cancelled: map[string]time.Time{}, ZonesOut: map[string]time.Time{}, ZoneOf: map[string]string{},
 	}
 }
@@ -139,6 +141,28 @@
 	}
 }
 
+// Crashed implements jobworker.Observer.
+func (l *EventRecorder) Crashed(_, task string, _ uint32) {
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
+	l.crashes[task]++
+}
+
+// minCrashesToGiveUp is the number of workers that must have crashed under a task before its job may be given up.
+const minCrashesToGiveUp = 2
+
+// MayBeGivenUp reports whether enough workers have crashed under one task of the job for it to be given up.
+func (l *EventRecorder) MayBeGivenUp(id string) bool {
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
+	for task, count := range l.crashes {
+		if name, err := job.ParseTaskName(task); err == nil && name.Job == id && count >= minCrashesToGiveUp {
+			return true
+		}
+	}
+	return false
+}
+
 // Starts returns the number of starts on all workers.
 func (l *EventRecorder) Starts() int {
 	l.Mu.Lock()
--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -43,6 +43,8 @@
 	// Confirmed is called once for each end that is confirmed. leaseExpired is set if the worker's lease ended between
 	// the end and its confirmation.
 	Confirmed(worker string, task string, run uint32, outcome job.Outcome, leaseExpired bool)
+	// Crashed is called for each run that a crash of its worker ends, before Ended.
+	Crashed(worker string, task string, run uint32)
 }
 
 // Config holds the settings of a Worker.
@@ -130,6 +132,7 @@
 func (w *Worker) crashLocked() {
 	for task, running := range w.runs {
 		running.timer.Stop()
+		w.config.Observer.Crashed(w.config.ID, task, running.run)
 		w.config.Observer.Ended(w.config.ID, task, running.run, job.OutcomeLeaseExpired)
 	}
 	w.runs = map[string]*activeRun{}
