--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -23,11 +23,11 @@
 func taskName(id string, index int) string { return fmt.Sprintf("%s.0.0.%d", id, index) }
 
 func step(count, cpu, estimateMillis int) map[string]any {
-	return map[string]any{"count": count, "cpu": cpu, "memMb": 256, "estimateMs": estimateMillis}
+	return map[string]any{"count": count, "cpu": cpu, wire.Memory: 256, "estimateMs": estimateMillis}
 }
 
 func lastingStep(count, cpu int) map[string]any {
-	return map[string]any{"count": count, "cpu": cpu, "memMb": 256, "estimateMs": 60000, "perpetual": true}
+	return map[string]any{"count": count, "cpu": cpu, wire.Memory: 256, "estimateMs": 60000, "perpetual": true}
 }
 
 // holder returns the worker on which the task runs, or nil.
--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -164,7 +164,7 @@
 			"maxAttempts": maxAttempts, "slackFactor": 2.0, "sloMs": 1000,
 		})
 	}
-	d.store.operatorWrite("op/config", map[string]any{
+	d.store.operatorWrite(wire.ConfigurationKey, map[string]any{
 		"version": d.version, "routes": routes, "limits": map[string]any{"bodyBytes": 262144},
 		"services": []map[string]any{{"name": serviceName, "rejectsOverload": true}},
 	})
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -59,9 +60,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.handleKey)
-	mux.HandleFunc("GET /kv-range", s.handleRange)
-	mux.HandleFunc("GET /kv-watch", s.handleWatch)
-	mux.HandleFunc("POST /kv-txn", s.handleTransaction)
+	mux.HandleFunc("GET "+wire.Range, s.handleRange)
+	mux.HandleFunc("GET "+wire.Watch, s.handleWatch)
+	mux.HandleFunc("POST "+wire.Transaction, s.handleTransaction)
 	mux.HandleFunc("POST /kv-lease", s.handleGrant)
 	mux.HandleFunc("POST /kv-keep/{id}", s.handleKeep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.handleLeaseEnd)
@@ -238,28 +239,48 @@
 	return events
 }
 
-func (s *store) handleTransaction(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		ExpectedRev []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"expectedRev"`
-		Writes []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-			Lease uint64 `json:"lease"`
-		} `json:"writes"`
-		Deletes []string `json:"deletes"`
+type condition struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+type transactionBody struct {
+	conditions []condition
+	Writes     []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease uint64 `json:"lease"`
+	} `json:"writes"`
+	Deletes []string `json:"deletes"`
+}
+
+func decodeTransaction(r *http.Request) (body transactionBody, err error) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return body, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return body, err
+	}
+	if raw, ok := fields[wire.Conditions]; ok {
+		if err := json.Unmarshal(raw, &body.conditions); err != nil {
+			return body, err
+		}
 	}
-	err := json.NewDecoder(r.Body).Decode(&body)
-	if err != nil || len(body.ExpectedRev)+len(body.Writes)+len(body.Deletes) > maxTransactionEntries {
+	return body, json.Unmarshal(data, &body)
+}
+
+func (s *store) handleTransaction(w http.ResponseWriter, r *http.Request) {
+	body, err := decodeTransaction(r)
+	if err != nil || len(body.conditions)+len(body.Writes)+len(body.Deletes) > maxTransactionEntries {
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	failed, current := false, []storeItem{}
-	for _, condition := range body.ExpectedRev {
+	for _, condition := range body.conditions {
 		item, ok := s.items[condition.Key]
 		if ok {
 			current = append(current, item)
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -80,8 +81,8 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.handleStart)
-	mux.HandleFunc("POST /run-stop", w.handleStop)
+	mux.HandleFunc("POST "+wire.StartRun, w.handleStart)
+	mux.HandleFunc("POST "+wire.StopRun, w.handleStop)
 	mux.HandleFunc("POST /hold", w.handleHold)
 	mux.HandleFunc("POST /pace", w.handlePace)
 	server := &http.Server{Handler: mux}
@@ -159,7 +160,7 @@
 		w.sequence++
 		body, _ := json.Marshal(map[string]any{
 			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
-			"coldLeftMs": 0, "capacity": map[string]any{"cpu": w.cpu, "memMb": 64000, "gpu": 0}, "labels": []string{"a", "r1"},
+			"coldLeftMs": 0, "capacity": map[string]any{"cpu": w.cpu, wire.Memory: 64000, "gpu": 0}, "labels": []string{"a", "r1"},
 			"clockMs": w.clockLocked().Milliseconds(), "seq": w.sequence, "born": w.born.UnixMilli(),
 		})
 		w.mu.Unlock()
@@ -176,20 +177,43 @@
 }
 
 type workerCall struct {
-	Task      string `json:"task"`
-	Run       uint64 `json:"run"`
-	Spec      string `json:"spec"`
-	DueMillis int64  `json:"dueMs"`
-	Fence     uint64 `json:"fence"`
-	Saved     string `json:"saved"`
-	AckedUpTo uint64 `json:"ackedUpto"`
-	WaitMs    int64  `json:"waitMs"`
+	Task   string `json:"task"`
+	Run    uint64 `json:"run"`
+	Fence  uint64 `json:"fence"`
+	Saved  string `json:"saved"`
+	WaitMs int64  `json:"waitMs"`
+	// dueMillis is the end of the lease, and confirmedUpTo the number of the last end that is taken note of.
+	dueMillis     int64
+	confirmedUpTo uint64
+}
+
+func decodeWorkerCall(r *http.Request) (call workerCall, err error) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return call, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return call, err
+	}
+	if raw, ok := fields[wire.LeaseEnd]; ok {
+		if err := json.Unmarshal(raw, &call.dueMillis); err != nil {
+			return call, err
+		}
+	}
+	if raw, ok := fields[wire.ConfirmedUpTo]; ok {
+		if err := json.Unmarshal(raw, &call.confirmedUpTo); err != nil {
+			return call, err
+		}
+	}
+	return call, json.Unmarshal(data, &call)
 }
 
 // receive decodes a call and answers it if it is not for this worker or its fence is too low. Otherwise it returns with
 // the worker locked.
 func (w *worker) receive(rw http.ResponseWriter, r *http.Request) (call workerCall, ok bool) {
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+	call, err := decodeWorkerCall(r)
+	if err != nil {
 		reply(rw, http.StatusBadRequest, map[string]any{})
 		return call, false
 	}
@@ -231,11 +255,11 @@
 		return
 	}
 	defer w.mu.Unlock()
-	if time.Duration(call.DueMillis)*time.Millisecond <= w.clockLocked() {
+	if time.Duration(call.dueMillis)*time.Millisecond <= w.clockLocked() {
 		w.refuseLocked(rw, "late")
 		return
 	}
-	w.extendLocked(call.DueMillis)
+	w.extendLocked(call.dueMillis)
 	if old := w.runs[call.Task]; old != nil && old.run == call.Run {
 		w.acceptLocked(rw)
 		return
@@ -285,12 +309,12 @@
 	if !ok {
 		return
 	}
-	if call.DueMillis > 0 {
-		w.extendLocked(call.DueMillis)
+	if call.dueMillis > 0 {
+		w.extendLocked(call.dueMillis)
 	}
 	kept := []endRow{}
 	for _, end := range w.ends {
-		if end.number > call.AckedUpTo {
+		if end.number > call.confirmedUpTo {
 			kept = append(kept, end)
 		}
 	}
