--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -18,6 +18,9 @@
 	restartDelay = 4 * time.Second
 )
 
+// pollInterval is how often a client asks each entry for the length of the queue.
+const pollInterval = 20 * time.Millisecond
+
 var errNoStart = errors.New("a task did not start before the disruption")
 
 func taskName(id string, index int) string { return fmt.Sprintf("%s.0.0.%d", id, index) }
@@ -232,9 +235,9 @@
 
 // waitingAfterKill: the coordinator is killed, and the next one says that no submission waits.
 func waitingAfterKill(record *recorder, trouble bool) (verdict, error) {
-	const jobs = 120
+	const jobs = 300
 	plan := func(string) taskPlan { return taskPlan{work: 200 * time.Second, cpu: 1000} }
-	d, err := newDeployment(record, 3, 2, 2000, plan)
+	d, err := newDeployment(record, 3, 3, workerCPU, plan)
 	if d != nil {
 		defer d.stop()
 	}
@@ -248,7 +251,10 @@
 	}
 	// visible_ms and 2 s after the last one was accepted.
 	time.Sleep(7 * time.Second)
-	waiting := jobs - (d.workers[0].runCount() + d.workers[1].runCount())
+	waiting := jobs
+	for _, w := range d.workers {
+		waiting -= w.runCount()
+	}
 	record.event("%d submissions were accepted over 5 s before and have not begun", waiting)
 	if trouble {
 		leader := d.leader()
@@ -276,7 +282,7 @@
 					}
 					lowest[i] = min(lowest[i], int(count))
 				}
-				time.Sleep(5 * time.Millisecond)
+				time.Sleep(pollInterval)
 			}
 		}()
 	}
--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -329,11 +329,16 @@
 	return response.StatusCode, answer
 }
 
+// specBytes is the length of a job's text; the pages allow 4,000 bytes.
+const specBytes = 2000
+
+func specOf(id string) string { return strings.Repeat(id, specBytes/len(id)) }
+
 // submit submits a job until it is accepted, or returns an error.
 func (d *deployment) submit(id string, steps ...map[string]any) error {
 	for attempt := range 5 {
 		p := d.entries[attempt%len(d.entries)]
-		status, _ := d.call(p, http.MethodPost, queuePrefix+id, map[string]any{"spec": "spec of " + id, "steps": steps})
+		status, _ := d.call(p, http.MethodPost, queuePrefix+id, map[string]any{"spec": specOf(id), "steps": steps})
 		d.record.event("client: submission %s sent to %s: %d", id, p.name, status)
 		if status/100 == 2 {
 			return nil
