--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -363,7 +363,7 @@
 // startInAnOutage: all entries lose power and start again while the store is down. The next coordinator may be elected
 // before it has the configuration; it then takes a job for failed after a single failed run.
 func startInAnOutage(record *recorder, trouble bool) (verdict, error) {
-	const tasks, rounds = 20, 4
+	const tasks, rounds = 20, 12
 	plan := func(task string) taskPlan {
 		// The first run of one task of 20 fails.
 		fails := strings.HasSuffix(task, ".0.0.0") && record.endsOf(task, "failed") == 0
