Report a lost worker as state, not as an event

Cause: the agent sent one message per lost run, once. Without a linked coordinator the messages were dropped and the runs forgotten; a restarted agent had never known the worker. The next coordinator took a report without a worker for "not ready yet" and kept the recorded assignments.

Change: a report carries WorkerLost while all runs of the machine have certainly ended. The planner asks the agent of a lost worker for each run that is still recorded there by a stop order, and repeats it until it is answered. An agent without a status probes the worker's address. Related: an order for an incarnation that the agent doesn't know yet is no longer answered as absent, and a worker that ends before its first poll, or answers as another incarnation without a status, counts as lost as well.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -20,7 +20,7 @@
 	if report.Crash != nil {
 		p.handleCrash(report.Agent, report.Crash)
 	}
-	a.ready = report.WorkerID != ""
+	a.ready, a.lost = report.WorkerID != "", report.WorkerLost
 	if !a.ready {
 		return
 	}
@@ -156,6 +156,9 @@
 		if a.connected && a.ready {
 			p.repeatOrders(a)
 		}
+		if a.connected && a.lost {
+			p.stopLostRuns(a)
+		}
 	}
 	p.active = slices.DeleteFunc(p.active, func(e *entry) bool { return e.progress.State.Final() })
 }
@@ -177,6 +180,29 @@
 	}
 }
 
+// stopLostRuns orders the agent of a lost worker to stop the runs that are still assigned there. The agent answers that
+// they are absent: it has refused, or will refuse, all start orders that were sent before. An order or an answer can be
+// lost with the link, so the stop orders are repeated until no run is assigned.
+func (p *Planner) stopLostRuns(a *agent) {
+	var lost []ref
+	for incarnation, runs := range p.runsByIncarnation {
+		if incarnation.Agent != a.name {
+			continue
+		}
+		for r := range runs {
+			if !r.run().stopping || p.now-r.run().orderAt > orderTimeout {
+				lost = append(lost, r)
+			}
+		}
+	}
+	slices.SortFunc(lost, compareRefs)
+	for _, r := range lost {
+		p.log("stopping run on a lost worker", "task", r.name(), "run", r.task().Run, "agent", a.name)
+		p.stopOrRelease(r)
+		p.markDirty(r.entry)
+	}
+}
+
 // evictRuns stops the runs on a leaving worker, so that they resume on other workers from their checkpoints.
 func (p *Planner) evictRuns(a *agent) {
 	for r := range p.runsByIncarnation[a.incarnation] {
--- /dev/null
+++ b/internal/planner/lost_test.go
@@ -0,0 +1,79 @@
+package planner
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/wire"
+)
+
+// takeStops returns the stop orders to send and clears all orders.
+func takeStops(p *Planner) []*wire.StopRun {
+	var stops []*wire.StopRun
+	for _, order := range p.TakeOrders() {
+		if stop, ok := order.Message.(*wire.StopRun); ok {
+			stops = append(stops, stop)
+		}
+	}
+	return stops
+}
+
+// restartPlanner returns the planner of the next coordinator, which has read the records of the given jobs and got no
+// report yet.
+func restartPlanner(p *Planner, ids ...string) *Planner {
+	next := New(testTiming, p.now)
+	next.SetOperatorSnapshot(p.operator)
+	for _, id := range ids {
+		e := p.jobs[id]
+		next.AddJob(e.spec, e.progress, e.revision, 0)
+	}
+	return next
+}
+
+// TestRunsOfALostWorkerAreAskedFor guards against tasks that stand still for good because a new coordinator takes an
+// agent that has lost its worker for one that has nothing to tell: nobody sends the message on the lost runs again.
+func TestRunsOfALostWorkerAreAskedFor(t *testing.T) {
+	is := is.New(t)
+	first := newTestPlanner(1)
+	addJob(first, "a", "q", job.Step{Count: 2})
+	commit(first)
+	task, _ := first.Task("a.0.0.0")
+	p := restartPlanner(first, "a")
+	p.HandleReport(testReport(1))
+	p.HandleReport(&wire.AgentReport{Agent: task.Worker.Agent})
+	p.Tick()
+	is.Equal(len(takeStops(p)), 0) // the worker may be alive and not have reported yet
+	p.HandleReport(&wire.AgentReport{Agent: task.Worker.Agent, WorkerLost: true})
+	p.Tick()
+	is.Equal(len(takeStops(p)), 2)
+	p.Tick()
+	is.Equal(len(takeStops(p)), 0)
+	p.Advance(p.now + orderTimeout + 1)
+	p.Tick()
+	stops := takeStops(p)
+	is.Equal(len(stops), 2) // the first orders or their answers may be lost
+	is.Equal(totalStarts(commit(p)), 0)
+	for _, stop := range stops {
+		p.HandleRunAbsent(task.Worker.Agent, &wire.RunAbsent{
+			WorkerID: stop.WorkerID, Incarnation: stop.Incarnation, Task: stop.Task, Run: stop.Run,
+		})
+	}
+	is.Equal(commit(p)[agentName(1)], 2)
+}
+
+// TestUnsentStartOnALostWorkerIsWithdrawn guards against an assignment that waits for an answer of a lost worker that
+// was never ordered to start it.
+func TestUnsentStartOnALostWorkerIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(1)
+	addJob(p, "a", "q", job.Step{Count: 1})
+	c := p.NextCommit(20, 0, false)
+	p.HandleReport(&wire.AgentReport{Agent: agentName(0), WorkerLost: true})
+	p.Tick()
+	p.HandleCommitted(c, 1)
+	is.Equal(len(p.TakeOrders()), 0)
+	p.HandleReport(testReport(0))
+	is.Equal(totalStarts(commit(p)), 1)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -14,7 +14,9 @@
 	// connected is set while the coordinator has a connection on which the agent has reported.
 	connected bool
 	// ready is set if the agent's last report named a worker.
-	ready       bool
+	ready bool
+	// lost is set if the agent's last report stated that all runs that were started on its machine have ended.
+	lost        bool
 	incarnation job.WorkerIncarnation
 	// authorityEnds is when the lease of the worker of a disconnected agent has expired at the latest.
 	authorityEnds time.Duration
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -40,7 +40,8 @@
 	// worker is the latest status of the worker. Its ID is empty until the first status arrives.
 	worker WorkerStatus
 	// workerLost is set while the worker counts as lost: it has left, refuses connections, or has not answered
-	// until its lease ended.
+	// until its lease ended. All runs that were started on the machine have ended then, also those of an earlier
+	// process of the agent. Each report states it until the worker answers again or a new one appears.
 	workerLost bool
 	lease      runLease
 	fence      uint64
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -50,22 +50,11 @@
 func runWithPreparedWorker(t *testing.T, prepareWorker func(*jobworker.Worker), test func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		startedAt := time.Now()
-		w := jobworker.New(jobworker.Config{
-			ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: noopObserver{},
-			Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskDuration} },
-		})
+		w, agent, stop := startAgent(t)
 		status, _ := w.Describe("north", 1)
 		prepareWorker(w)
-		agent := runner.New(runner.Config{
-			Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: 5 * time.Second,
-			Now: func() time.Duration { return time.Since(startedAt) + time.Second }, Logger: log.New(io.Discard),
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { agent.Run(ctx); close(done) }()
 		coordinatorEnd, agentEnd := link.Pipe()
-		go agent.ServeLink(ctx, agentEnd)
+		go agent.ServeLink(context.Background(), agentEnd)
 		if err := coordinatorEnd.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
 			t.Fatal(err)
 		}
@@ -74,11 +63,28 @@
 		}
 		test(is.New(t), coordinatorEnd, w, agent)
 		coordinatorEnd.Close()
-		cancel()
-		<-done
+		stop()
 	})
 }
 
+// startAgent runs an agent beside a worker that has sent it no status yet. stop ends the agent.
+func startAgent(t *testing.T) (w *jobworker.Worker, agent *runner.Agent, stop func()) {
+	t.Helper()
+	startedAt := time.Now()
+	w = jobworker.New(jobworker.Config{
+		ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: noopObserver{},
+		Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskDuration} },
+	})
+	agent = runner.New(runner.Config{
+		Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: authorityOfTests,
+		Now: func() time.Duration { return time.Since(startedAt) + time.Second }, Logger: log.New(io.Discard),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { agent.Run(ctx); close(done) }()
+	return w, agent, func() { cancel(); <-done }
+}
+
 // receiveMessage answers pings until a message arrives that is neither a ping nor of a kind in skip, and
 // returns it.
 func receiveMessage(t *testing.T, conn link.Conn, skip ...wire.Kind) wire.Message {
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -73,7 +73,8 @@
 }
 
 // reportWorkerLostLocked marks the worker as lost and reports all its runs as absent: its incarnation or its
-// lease has ended.
+// lease has ended. A coordinator that doesn't receive this learns of the loss from its first report, and asks for the
+// runs by stop orders.
 func (a *Agent) reportWorkerLostLocked(reason string) {
 	a.workerLost = true
 	// The report comes first: the coordinator counts a crash for the runs that are still assigned.
@@ -96,7 +97,7 @@
 	if a.conn == nil {
 		return
 	}
-	report := &wire.AgentReport{Agent: a.config.Name, Crash: a.crash}
+	report := &wire.AgentReport{Agent: a.config.Name, Crash: a.crash, WorkerLost: a.workerLost}
 	if a.worker.ID != "" && a.snapshotTaken && !a.workerLost {
 		report = a.buildReportLocked()
 		a.restarted = false
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"clementineflow/internal/job"
 	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
@@ -16,6 +14,11 @@
 func (a *Agent) pollWorker(ctx context.Context) {
 	var reportedAt time.Duration
 	for ctx.Err() == nil {
+		if !a.workerKnown() {
+			a.probeWorker(ctx)
+			a.waitForWake(ctx, retryDelay)
+			continue
+		}
 		request, delay, ok := a.nextPoll()
 		if !ok {
 			a.waitForWake(ctx, pollWait)
@@ -32,6 +35,7 @@
 		}
 		if !a.verifyIncarnation(snapshot) {
 			// The status of the new incarnation follows with the worker's next status report.
+			a.handlePollError(ErrOtherIncarnation)
 			a.waitForWake(ctx, retryDelay)
 			continue
 		}
@@ -51,12 +55,19 @@
 	}
 }
 
+// workerKnown reports whether a status of the worker has arrived.
+func (a *Agent) workerKnown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.worker.ID != ""
+}
+
 // nextPoll returns the request of the next poll, and how long to wait after it for the coordinator to
-// confirm new ends. ok is false until both a worker and a coordinator are known.
+// confirm new ends. ok is false until a coordinator is known.
 func (a *Agent) nextPoll() (request PollRequest, delay time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.worker.ID == "" || a.fence == 0 {
+	if a.fence == 0 {
 		return PollRequest{}, 0, false
 	}
 	now := a.config.Now()
@@ -89,33 +100,6 @@
 	}
 }
 
-// handlePollError records a failed poll. The worker counts as lost once it has refused connections for
-// refusedTimeout, or has not answered for noAnswerTimeout and its lease has certainly ended.
-func (a *Agent) handlePollError(err error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.config.Now()
-	a.incarnationVerified = false
-	a.markFailingLocked(now)
-	if !errors.Is(err, ErrNotSent) {
-		a.refusedSince = 0
-	} else if a.refusedSince == 0 {
-		a.refusedSince = now
-	}
-	if a.workerLost || !a.snapshotTaken {
-		return
-	}
-	switch {
-	case a.refusedSince != 0 && now-a.refusedSince > refusedTimeout:
-		a.config.Logger.Warn("worker refuses connections", "worker", a.worker.ID, "runs", len(a.runs))
-		a.recordCrashLocked()
-		a.reportWorkerLostLocked(reasonRefused)
-	case now > a.lease.endsBy && now-a.answeredAt > noAnswerTimeout:
-		a.config.Logger.Warn("worker does not answer and its lease has ended", "worker", a.worker.ID, "runs", len(a.runs), "error", err)
-		a.reportWorkerLostLocked(reasonLeaseEnded)
-	}
-}
-
 // verifyIncarnation reports whether the snapshot is of the known incarnation of the worker, and clears
 // incarnationVerified if not. A snapshot without an incarnation counts as matching.
 func (a *Agent) verifyIncarnation(snapshot Snapshot) bool {
--- /dev/null
+++ b/internal/runner/loss_test.go
@@ -0,0 +1,137 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/runner"
+	"clementineflow/internal/standin/jobworker"
+	"clementineflow/internal/wire"
+)
+
+const (
+	// maxLossDelay is how long the agent may take to tell that its worker refuses connections.
+	maxLossDelay = 1500 * time.Millisecond
+	// authorityOfTests is the authority of the agents that runWithAgent starts.
+	authorityOfTests = 5 * time.Second
+)
+
+// reportsOf answers pings for the duration and returns the reports and the absent runs that arrive.
+func reportsOf(is *is.I, conn link.Conn, d time.Duration) (reports []*wire.AgentReport, absent []*wire.RunAbsent) {
+	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
+		message, err := conn.Receive()
+		is.NoErr(err)
+		switch message := message.(type) {
+		case *wire.AgentPing:
+			is.NoErr(conn.Send(&wire.PingReply{Sequence: message.Sequence}))
+		case *wire.AgentReport:
+			reports = append(reports, message)
+		case *wire.RunAbsent:
+			absent = append(absent, message)
+		}
+	}
+	return reports, absent
+}
+
+// stopOf orders the agent to stop a run of the first incarnation.
+func stopOf(is *is.I, conn link.Conn) {
+	is.NoErr(conn.Send(&wire.StopRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1}))
+}
+
+// TestLossIsToldToTheNextCoordinator guards against a loss of a worker that only the coordinator at that time is told.
+func TestLossIsToldToTheNextCoordinator(t *testing.T) {
+	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		startBeforeCrash(is, conn, w, 10*time.Millisecond)
+		conn.Close()
+		time.Sleep(maxLossDelay)
+		next, agentEnd := link.Pipe()
+		go agent.ServeLink(context.Background(), agentEnd)
+		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		stopOf(is, next)
+		reports, absent := reportsOf(is, next, time.Second)
+		is.True(reports[0].WorkerLost)
+		is.Equal(len(absent), 1)
+		is.Equal(absent[0].Incarnation, int64(1))
+		next.Close()
+	})
+}
+
+// runWithoutStatus runs an agent to which the worker has sent no status.
+func runWithoutStatus(t *testing.T, test func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w, agent, stop := startAgent(t)
+		coordinatorEnd, agentEnd := link.Pipe()
+		go agent.ServeLink(context.Background(), agentEnd)
+		if err := coordinatorEnd.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
+			t.Fatal(err)
+		}
+		test(is.New(t), coordinatorEnd, w, agent)
+		coordinatorEnd.Close()
+		stop()
+	})
+}
+
+// TestRestartedAgentTellsThatNoWorkerIsThere guards against runs that are assigned for good to a worker that ended
+// while its agent restarted: the new process has no worker that it could lose.
+func TestRestartedAgentTellsThatNoWorkerIsThere(t *testing.T) {
+	runWithoutStatus(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, _ *runner.Agent) {
+		w.Crash()
+		reports, _ := reportsOf(is, conn, maxLossDelay)
+		is.True(reports[len(reports)-1].WorkerLost)
+		stopOf(is, conn)
+		_, absent := reportsOf(is, conn, time.Second)
+		is.Equal(len(absent), 1)
+	})
+}
+
+// TestRestartedAgentWaitsForTheLease guards against runs that a restarted agent reports as absent while they are
+// active on a worker whose status has not arrived yet, so that they would run twice.
+func TestRestartedAgentWaitsForTheLease(t *testing.T) {
+	runWithoutStatus(t, func(is *is.I, conn link.Conn, _ *jobworker.Worker, _ *runner.Agent) {
+		for waited := time.Duration(0); waited < authorityOfTests-time.Second; waited += time.Second {
+			stopOf(is, conn)
+			reports, absent := reportsOf(is, conn, time.Second)
+			is.Equal(len(absent), 0)
+			for _, report := range reports {
+				is.True(!report.WorkerLost)
+			}
+		}
+		// Every lease that the previous process has extended ends with its authority.
+		reports, _ := reportsOf(is, conn, 2*time.Second)
+		is.True(reports[len(reports)-1].WorkerLost)
+	})
+}
+
+// TestWorkerLostBeforeItsFirstAnswer guards against the same gap for a worker that ends between its first status and
+// the first poll.
+func TestWorkerLostBeforeItsFirstAnswer(t *testing.T) {
+	runWithoutStatus(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		status, _ := w.Describe("north", 1)
+		w.Crash()
+		is.True(agent.UpdateStatus(status))
+		reports, _ := reportsOf(is, conn, maxLossDelay)
+		is.True(reports[len(reports)-1].WorkerLost)
+	})
+}
+
+// TestNewWorkerEndsALoss guards against an agent that calls its worker lost after a new one has reported itself.
+func TestNewWorkerEndsALoss(t *testing.T) {
+	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		waitForReport(is, conn)
+		w.Crash()
+		reports, _ := reportsOf(is, conn, maxLossDelay)
+		is.True(reports[len(reports)-1].WorkerLost)
+		w.Restart()
+		status, _ := w.Describe("north", 1)
+		is.True(agent.UpdateStatus(status))
+		reports, _ = reportsOf(is, conn, maxLossDelay)
+		is.Equal(reports[len(reports)-1].Incarnation, int64(2))
+		is.True(!reports[len(reports)-1].WorkerLost)
+	})
+}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -9,13 +9,16 @@
 	"clementineflow/internal/wire"
 )
 
-// handleStopLocked carries out a stop order, or reports the run as absent if the order is for another
-// incarnation of the worker.
+// handleStopLocked carries out a stop order, or reports the run as absent if the incarnation of the worker that it is
+// for has ended. While that is not known, the order is dropped; the coordinator repeats it.
 func (a *Agent) handleStopLocked(order *wire.StopRun) {
-	if order.WorkerID != a.worker.ID || order.Incarnation != a.worker.Incarnation {
+	if a.runsEndedLocked(order.WorkerID, order.Incarnation) {
 		a.rejectOrderLocked(order.WorkerID, order.Incarnation, order.Task, order.Run, reasonOtherIncarnation)
 		return
 	}
+	if order.WorkerID != a.worker.ID || order.Incarnation != a.worker.Incarnation {
+		return
+	}
 	if a.ends.contains(order.Task, order.Run) {
 		return
 	}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -102,6 +102,9 @@
 	StopRun(ctx context.Context, target Target, task string, run uint32) error
 	// Poll extends the lease, confirms ends, and returns a snapshot of the worker.
 	Poll(ctx context.Context, request PollRequest) (Snapshot, error)
+	// Probe checks whether a worker listens at its address, whichever incarnation it is. It returns ErrNotSent if the
+	// connection is refused.
+	Probe(ctx context.Context) error
 	// SetPace sets the speed of a run to a percentage of its full speed.
 	SetPace(ctx context.Context, target Target, task string, run uint32, percent int) error
 }
--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// ActiveRuns returns the number of runs that have not ended.
+func (w *Worker) ActiveRuns() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // SetUnresponsive sets whether the worker leaves calls unanswered while its runs continue.
 func (w *Worker) SetUnresponsive(unresponsive bool) {
 	w.mu.Lock()
@@ -329,6 +336,16 @@
 // SetPace implements runner.Worker. It does nothing: all runs work at full pace.
 func (w *Worker) SetPace(context.Context, runner.Target, string, uint32, int) error { return nil }
 
+// Probe implements runner.Worker.
+func (w *Worker) Probe(context.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		return runner.ErrNotSent
+	}
+	return nil
+}
+
 // Poll implements runner.Worker.
 func (w *Worker) Poll(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error) {
 	w.mu.Lock()
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -86,7 +86,8 @@
 // of the description.
 type AgentReport struct {
 	Agent string `cbor:"1,keyasint"`
-	// WorkerID is empty while the agent has no worker.
+	// WorkerID is empty while no worker is ready to start runs. Runs of an earlier one may still be active then, unless
+	// WorkerLost is set.
 	WorkerID string `cbor:"2,keyasint,omitempty"`
 	// Incarnation distinguishes the incarnations of a worker with the same ID.
 	Incarnation int64             `cbor:"3,keyasint,omitempty"`
@@ -108,6 +109,9 @@
 	Restarted bool `cbor:"13,keyasint,omitempty"`
 	// Crash is the latest crash of the worker, or nil if the agent has seen none.
 	Crash *WorkerCrash `cbor:"14,keyasint,omitempty"`
+	// WorkerLost is set while the agent has no worker and all runs that were started on its machine have certainly
+	// ended. Each report repeats it until the agent has a worker again.
+	WorkerLost bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Kind implements Message.
