Give up a job only under a known limit of attempts

Cause: without a configuration, and for a queue that it doesn't have, maxAttempts answered 1. An entry can be elected before it has read any configuration, since it follows the leader's key and the operator's keys separately, and takes reports of failed runs meanwhile.

Change: the limit is known or unknown. Failures are counted in any case; a job fails under a known limit only, and tasks that used up their attempts before are looked for when a configuration arrives or a job is loaded. A job records the limit of its queue when it is accepted; it holds while the queue is not configured.

--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -98,7 +98,8 @@
 	if queue.NeedsPlacementAdvice {
 		return g.refuse(spec.ID, Refused, "queues with placement advice are not supported"), nil
 	}
-	spec.Queue, spec.Service, spec.AcceptedAt = queue.Name, queue.Service, time.Now().UTC()
+	spec.Queue, spec.Service, spec.MaxAttempts = queue.Name, queue.Service, queue.AttemptLimit()
+	spec.AcceptedAt = time.Now().UTC()
 	value, err := job.EncodeSpec(spec)
 	if err != nil {
 		return g.refuse(spec.ID, Invalid, err.Error()), nil
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -87,20 +87,7 @@
 		return
 	}
 	task.Failures++
-	if int(task.Failures) >= p.maxAttempts(r.entry) {
-		p.log("job failed", "job", r.entry.spec.ID, "task", r.name(), "failures", task.Failures)
-		p.finishJob(r.entry, job.StateFailed)
-	}
-}
-
-// maxAttempts returns the number of failed runs of one task at which the job fails.
-func (p *Planner) maxAttempts(e *entry) int {
-	if p.operator.Config != nil {
-		if queue, ok := p.operator.Config.Queue(e.spec.Queue); ok && queue.MaxAttempts > 0 {
-			return queue.MaxAttempts
-		}
-	}
-	return 1
+	p.failIfExhausted(r)
 }
 
 // HandleRunAbsent releases a task whose run is not on its worker and cannot start there any more.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -99,6 +99,7 @@
 	p.operator = snapshot
 	p.changes.markAllChanged()
 	for _, e := range p.active {
+		p.failExhaustedTasks(e)
 		p.withdrawUnordered(e, func(r ref, a *agent) bool { return a == nil || !p.allowed(r.entry, r.step, a) })
 	}
 }
@@ -150,6 +151,7 @@
 	if p.pendingCancels[spec.ID] {
 		p.Cancel(spec.ID)
 	}
+	p.failExhaustedTasks(e)
 }
 
 // restoreAssignment restores the recorded assignment of a task. Its start order may have been sent in an
