Leave out odd records below the coordinator's prefixes

Callers saw no job placed any more (LOST) after another writer had left one odd job record: a step with 2^46 or -1 tasks, or one that depends on itself.

Cause: records were decoded and handed to the planner as they were. The planner's panic ended the term, and the next coordinator read the same record. A record of an entry with an infinite strength made each entry stand back in each election.

Change: job records are validated as at their submission, records of agents and entries for the fields that they need. What can't be used is left out, logged with its key and the reason, and counted; the others hold.

--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -17,6 +17,8 @@
 var (
 	// ErrNotCoordinator reports a query that only the coordinator can answer.
 	ErrNotCoordinator = errors.New("coordinator: this entry is not the coordinator")
+	// errInvalidAgentRecord reports an agent's record without a name or an address.
+	errInvalidAgentRecord = errors.New("coordinator: agent record without a name or an address")
 	// errPanicked ends a term after a panic in its event loop.
 	errPanicked = errors.New("coordinator: panic in the event loop")
 	// errYielded ends a term to hand over to a stronger entry.
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -41,8 +41,11 @@
 		return
 	}
 	record, err := wire.Unmarshal[AgentRecord](change.Value)
+	if err == nil && (name == "" || record.Address == "") {
+		err = errInvalidAgentRecord
+	}
 	if err != nil {
-		t.config.Logger.Error("agent record can't be decoded", "key", change.Key, "error", err)
+		store.ReportMalformed(t.config.Logger, "agents", change.Key, err)
 		return
 	}
 	if old != nil {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -207,9 +207,9 @@
 
 // addJob adds a job to the planner, with its progress record if there is one.
 func (t *term) addJob(change store.Event) {
-	spec, err := job.DecodeSpec(change.Value)
-	if err != nil || spec.ID != strings.TrimPrefix(change.Key, jobPrefix) {
-		t.config.Logger.Error("job record can't be decoded", "key", change.Key, "error", err)
+	spec, err := decodeJob(strings.TrimPrefix(change.Key, jobPrefix), change.Value)
+	if err != nil {
+		store.ReportMalformed(t.config.Logger, "jobs", change.Key, err)
 		return
 	}
 	item := t.loadedProgress[spec.ID]
@@ -217,13 +217,25 @@
 	var progress *job.Progress
 	if item.Revision != 0 {
 		if progress, err = job.DecodeProgress(item.Value); err != nil {
-			t.config.Logger.Error("progress record can't be decoded", "key", item.Key, "error", err)
+			store.ReportMalformed(t.config.Logger, "progress", item.Key, err)
 			return
 		}
 	}
 	t.planner.AddJob(spec, progress, item.Revision, time.Since(spec.AcceptedAt))
 }
 
+// decodeJob decodes the record of the job with the ID. Another writer can have left one that no entry would accept.
+func decodeJob(id string, value []byte) (*job.Spec, error) {
+	spec, err := job.DecodeSpec(value)
+	if err != nil {
+		return nil, err
+	}
+	if spec.ID != id {
+		return nil, errors.Wrapf(job.ErrInvalid, "record of job %.80q", spec.ID)
+	}
+	return spec, spec.Validate()
+}
+
 // handleAgent passes an event of an agent to the planner.
 func (t *term) handleAgent(e *agentEvent) {
 	if e.down {
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"sync"
 
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
 	"clementineflow/internal/store"
 	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
@@ -21,17 +25,34 @@
 	Strength float64 `cbor:"2,keyasint,omitempty"`
 }
 
+// errInvalidRecord reports an entry's record that can't be used.
+var errInvalidRecord = errors.New("relay: invalid record of an entry")
+
+// validate returns errInvalidRecord if the record has no address, or a strength that can't be compared.
+func (r *record) validate() error {
+	if r.Address == "" {
+		return errors.Wrap(errInvalidRecord, "no address")
+	}
+	if math.IsNaN(r.Strength) || math.IsInf(r.Strength, 0) || r.Strength < 0 {
+		return errors.Wrapf(errInvalidRecord, "strength %g", r.Strength)
+	}
+	return nil
+}
+
 // directory holds the records of the other entries. It is safe for concurrent use.
 type directory struct {
-	own string
+	own    string
+	logger *log.Logger
 
 	mu      sync.Mutex
 	records map[string]record
 }
 
-func newDirectory(own string) *directory { return &directory{own: own, records: map[string]record{}} }
+func newDirectory(own string, logger *log.Logger) *directory {
+	return &directory{own: own, logger: logger, records: map[string]record{}}
+}
 
-// apply updates the directory from changes of the records. A record that can't be decoded is ignored.
+// apply updates the directory from changes of the records. A record that can't be used is left out.
 func (d *directory) apply(events []store.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -43,8 +64,13 @@
 		}
 		known, err := wire.Unmarshal[record](event.Value)
 		if err == nil {
-			d.records[name] = *known
+			err = known.validate()
+		}
+		if err != nil {
+			store.ReportMalformed(d.logger, "entries", event.Key, err)
+			continue
 		}
+		d.records[name] = *known
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,7 +51,7 @@
 	own := &direct{Service: config.Store, health: health}
 	return &Relay{
 		Service: own, config: config, direct: own,
-		directory: newDirectory(config.Address), callSlots: make(chan struct{}, maxCalls),
+		directory: newDirectory(config.Address, config.Logger), callSlots: make(chan struct{}, maxCalls),
 	}
 }
 
