--- a/cmd/clementined/platform_agent.go
+++ b/cmd/clementined/platform_agent.go
@@ -33,8 +33,8 @@
 	ctx, fail := context.WithCancelCause(ctx)
 	defer fail(nil)
 	name, address := p.settings.Name, p.settings.LinkAddress
-	worker := platform.NewWorker(p.settings.WorkerAddress)
-	client := platform.NewStore(p.settings.StoreAddress)
+	worker := platform.NewWorker(p.settings.WorkerAddress, p.logger)
+	client := platform.NewStore(p.settings.StoreAddress, p.logger)
 	agent := runner.New(runner.Config{
 		Name: name, Worker: worker,
 		LeaseTerm: min(runLeaseTerm, p.settings.MaxRunLease), Authority: runAuthority,
--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -44,7 +44,7 @@
 func (p *platformProcess) entry(ctx context.Context) error {
 	ctx, fail := context.WithCancelCause(ctx)
 	defer fail(nil)
-	client := platform.NewStore(p.settings.StoreAddress)
+	client := platform.NewStore(p.settings.StoreAddress, p.logger)
 	source := platform.OperatorSource{}
 	view := operatorconfig.NewView(source, p.settings.Zones, p.logger)
 	dialer := link.NewDialer(nil)
--- a/internal/store/malformed.go
+++ b/internal/store/malformed.go
@@ -7,9 +7,14 @@
 	"github.com/charmbracelet/log"
 )
 
+// CountMalformed counts a record that its reader leaves out in clementine_malformed_records_total.
+func CountMalformed(reader string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("clementine_malformed_records_total{reader=%q}", reader)).Inc()
+}
+
 // ReportMalformed logs and counts a record that its reader leaves out because it can't be used. reader names the reader
-// in the metric clementine_malformed_records_total.
+// in the log and in the metric.
 func ReportMalformed(logger *log.Logger, reader, key string, err error) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("clementine_malformed_records_total{reader=%q}", reader)).Inc()
+	CountMalformed(reader)
 	logger.Error("record left out", "reader", reader, "key", key, "error", err)
 }
