Refuse status reports that can't come from the worker

A start or a sequence number that is too large hid all later reports, so the agent stopped following its worker; a memory size overflowed; a clock reading moved the lease.

A newer incarnation hides an older one only once it has answered a poll. The lease is counted from the clock of answered polls only, so the report's reading is no longer decoded.

--- a/cmd/clementined/platform_agent.go
+++ b/cmd/clementined/platform_agent.go
@@ -50,13 +50,14 @@
 		return err
 	}
 	group.Go(func() { _ = links.Serve(listener, nil) })
-	reports := platform.NewServer(platform.NewReportHandler(agent, p.settings.Service, p.logger).Handle, p.logger)
-	if err := p.serveHTTP(&group, reports, p.settings.ReportAddress, fail); err != nil {
+	reports := platform.NewReportHandler(agent, p.settings.Service, p.logger)
+	if err := p.serveHTTP(&group, platform.NewServer(reports.Handle, p.logger), p.settings.ReportAddress, fail); err != nil {
 		return err
 	}
 	group.Go(func() {
 		p.watchSettings(ctx, func(s *platform.Settings) {
 			worker.SetAddress(s.WorkerAddress)
+			reports.SetService(s.Service)
 			client.SetAddress(s.StoreAddress)
 		})
 	})
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -4,8 +4,9 @@
 	"clementineflow/internal/wire"
 )
 
-// UpdateStatus updates the agent with a status of the worker. It returns false if the status is of a
-// previous incarnation or older than the current one.
+// UpdateStatus updates the agent with a status of the worker. It returns false if the status is of a previous
+// incarnation or older than the current one. An incarnation counts as previous only if the newer one has answered a
+// poll: the status of one that never existed must not hide the worker.
 func (a *Agent) UpdateStatus(d WorkerStatus) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -14,7 +15,7 @@
 		if d.Sequence < a.worker.Sequence {
 			return false
 		}
-	case a.worker.ID != "" && d.Incarnation < a.worker.Incarnation:
+	case a.snapshotTaken && d.Incarnation < a.worker.Incarnation:
 		a.config.Logger.Warn("ignored a description of a previous worker incarnation", "worker", d.ID, "born", d.Incarnation, "known_born", a.worker.Incarnation)
 		return false
 	default:
@@ -25,7 +26,6 @@
 		a.config.Logger.Info("worker is leaving", "worker", d.ID, "remaining_ms", d.Remaining.Milliseconds())
 	}
 	a.worker = d
-	a.lease.observeClock(d.Clock, a.config.Now())
 	if changed && a.snapshotTaken {
 		a.sendReportLocked()
 	}
--- a/internal/runner/loss_test.go
+++ b/internal/runner/loss_test.go
@@ -135,3 +135,19 @@
 		is.True(!reports[len(reports)-1].WorkerLost)
 	})
 }
+
+// TestStatusOfNoWorkerHidesNothing guards against a status that names an incarnation that never existed, after which the
+// agent takes the worker's own reports for those of a previous one.
+func TestStatusOfNoWorkerHidesNothing(t *testing.T) {
+	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		waitForReport(is, conn)
+		status, _ := w.Describe("north", 1)
+		odd := status
+		odd.Incarnation = 1000
+		agent.UpdateStatus(odd)
+		reportsOf(is, conn, time.Second)
+		is.True(agent.UpdateStatus(status))
+		reports, _ := reportsOf(is, conn, time.Second)
+		is.Equal(reports[len(reports)-1].Incarnation, int64(1))
+	})
+}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -33,8 +33,6 @@
 	Leaving  bool
 	// Remaining is the minimum time until a leaving worker ends.
 	Remaining time.Duration
-	// Clock is the worker's clock when it sent the status. It starts anew in each incarnation.
-	Clock time.Duration
 	// Incarnation identifies the incarnation of the worker; it increases with each one of the same ID.
 	Incarnation int64
 	// Sequence increases with each status of one incarnation.
--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -118,7 +118,7 @@
 	defer w.mu.Unlock()
 	return runner.WorkerStatus{
 		ID: w.config.ID, Service: "service", Zone: zone, Capacity: w.config.Capacity,
-		Clock: w.clockLocked(), Incarnation: w.incarnation, Sequence: sequence,
+		Incarnation: w.incarnation, Sequence: sequence,
 	}, !w.down
 }
 
@@ -171,6 +171,13 @@
 	w.delayedOrders, w.orderDelay = count, delay
 }
 
+// Clock returns the time since the start of the incarnation on the worker's clock.
+func (w *Worker) Clock() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clockLocked()
+}
+
 // clockLocked returns the time since the start of the incarnation on the worker's clock.
 func (w *Worker) clockLocked() time.Duration {
 	return time.Duration(float64(time.Since(w.startedAt)) * w.config.ClockRate).Truncate(time.Millisecond)
