Leave out odd entries of the operator's configuration

Change: routes and services are decoded one by one if the document can't be as a whole. Those that can't be used are left out, logged and counted.

--- a/internal/operatorconfig/view.go
+++ b/internal/operatorconfig/view.go
@@ -150,6 +150,9 @@
 		v.logger.Error("configuration can't be decoded; the former one stays in effect", "revision", event.Revision, "error", err)
 		return false
 	}
+	for _, reason := range config.LeftOut {
+		store.ReportMalformed(v.logger, "configuration", event.Key, reason)
+	}
 	v.revisions[event.Key] = event.Revision
 	v.snapshot.Config, v.snapshot.Revision = config, event.Revision
 	v.logger.Info("configuration applied", "version", config.Version, "revision", event.Revision, "queues", len(config.Queues))
