Bind the probe of a suspected worker to one run

Cause: a suspected worker gets one run as a probe, and the probe was a flag that only a done run, or an empty worker, cleared. A probe that lasts never ends; one that was cancelled counted on beside other runs.

Change: the probe is a certain run. Its end makes room for the next one, a long-running probe at work ends the suspicion, and after 2 s the worker gets a further run in any case.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -137,7 +137,7 @@
 	p.addAssignment(r, a.incarnation)
 	a.lastPlacementAt = p.now
 	if a.failuresInRow >= suspectAfter {
-		a.probing = true
+		a.beginProbe(r, p.now)
 	}
 	if r.entry.progress.State == job.StateQueued {
 		r.entry.progress.State = job.StateRunning
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -215,7 +215,9 @@
 	}
 	if a := p.agents[incarnation.Agent]; a != nil && a.incarnation == incarnation {
 		a.reserve(r.definition(), -1)
-		a.probing = a.probing && len(p.runsByIncarnation[incarnation]) > 0
+		if a.probe == r {
+			a.probe = ref{}
+		}
 		p.changes.markChanged(a)
 	}
 	r.entry.setPhase(r, job.PhaseWaiting)
--- a/internal/planner/reconcile.go
+++ b/internal/planner/reconcile.go
@@ -92,11 +92,23 @@
 	return ref{}, false
 }
 
+// confirmProbe ends the suspicion of a worker whose probe is a long-running task at work. Such a run does not end by
+// itself, so no later sign of the worker's health would follow.
+func (p *Planner) confirmProbe(r ref) {
+	a := p.agents[r.task().Worker.Agent]
+	if a == nil || a.probe != r || !r.definition().LongRunning || r.run().percent < fullPercent {
+		return
+	}
+	a.resetFailures()
+	p.changes.markChanged(a)
+}
+
 // recordProgress stores the reported progress and checkpoint of a run.
 func (p *Planner) recordProgress(r ref, row *wire.RunRow) {
 	r.entry.hasStarted = true
 	r.run().reported = true
 	r.run().percent = row.ProgressPercent
+	p.confirmProbe(r)
 	if row.Checkpoint != "" {
 		r.task().Checkpoint = row.Checkpoint
 	}
--- a/internal/planner/timing.go
+++ b/internal/planner/timing.go
@@ -26,6 +26,8 @@
 	suspectPeriod = 2 * time.Second
 	// maxSuspectPeriod is the upper bound of that pause.
 	maxSuspectPeriod = 8 * time.Second
+	// probePeriod is how long a suspected worker gets no other run than its probe, which may work for long.
+	probePeriod = 2 * time.Second
 	// evictionLeadTime is how long before the shutdown of a leaving worker its runs are stopped, so that their
 	// checkpoints are saved and they resume on other workers.
 	evictionLeadTime = 900 * time.Millisecond
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -46,7 +46,10 @@
 	failuresInRow int
 	suspectEnds   time.Duration
 	suspectPeriod time.Duration
-	probing       bool
+	// probe is the latest run that was placed as a probe, or the zero ref once it has ended. It is the only run that the
+	// suspected worker gets until probeEnds.
+	probe     ref
+	probeEnds time.Duration
 }
 
 // hasLabel reports whether the worker has the label; the empty label is on every worker.
@@ -87,7 +90,7 @@
 
 // resetFailures clears the failures of the worker after a successful run.
 func (a *agent) resetFailures() {
-	a.failuresInRow, a.probing = 0, false
+	a.failuresInRow, a.probe = 0, ref{}
 	a.suspectEnds, a.suspectPeriod = 0, 0
 }
 
@@ -97,16 +100,22 @@
 	if a.failuresInRow < suspectAfter {
 		return false
 	}
-	a.probing = false
+	a.probe = ref{}
 	a.suspectPeriod = min(max(2*a.suspectPeriod, suspectPeriod), maxSuspectPeriod)
 	a.suspectEnds = now + a.suspectPeriod
 	return true
 }
 
-// suspected reports whether the worker must not get a task now. After the pause it gets one task as a probe.
+// beginProbe records that a run is placed on a suspected worker after its pause.
+func (a *agent) beginProbe(r ref, now time.Duration) {
+	a.probe, a.probeEnds = r, now+probePeriod
+}
+
+// suspected reports whether the worker must not get a task now. After the pause it gets one task as a probe, and a
+// further one whenever a probe has neither ended nor failed for probePeriod.
 func (a *agent) suspected(now time.Duration) bool {
 	if a.failuresInRow < suspectAfter {
 		return false
 	}
-	return now < a.suspectEnds || a.probing
+	return now < a.suspectEnds || a.probe.entry != nil && now < a.probeEnds
 }
