Don't tell a queue's length before the jobs are read

Cause: a new term answers queries as soon as its event loop runs, and the stored jobs arrive with the first list of the input somewhat later. A queue without known jobs had the length 0.

Change: until that list has been handled, the term answers that the length is unknown, and the entry refuses the call at once.

--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -8,9 +8,11 @@
 	"clementineflow/internal/wire"
 )
 
-// event is an input of the event loop. Exactly one field is set.
+// event is an input of the event loop. One of input, agent, commit and query is set; input may be empty.
 type event struct {
-	input  []store.Event
+	input []store.Event
+	// listed is set if a complete list of the input has been read. It is not for a single record of a notification.
+	listed bool
 	agent  *agentEvent
 	commit *commitResult
 	query  *query
--- a/internal/coordinator/question.go
+++ b/internal/coordinator/question.go
@@ -23,13 +23,18 @@
 	}
 }
 
-// answerQuery replies to a query. If the term may have ended, it replies that nothing is known.
+// answerQuery replies to a query. If the term may have ended, it replies that nothing is known; the same holds for the
+// length of a queue before the stored jobs have been read.
 func (t *term) answerQuery(q *query) {
 	if !t.valid() {
 		q.reply <- queryReply{}
 		return
 	}
 	if q.job == "" {
+		if !t.inputListed {
+			q.reply <- queryReply{}
+			return
+		}
 		q.reply <- queryReply{known: true, waiting: t.planner.CountUnstartedJobs(q.queue)}
 		return
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -31,6 +31,8 @@
 	planner        *planner.Planner
 	loadedProgress map[string]store.KeyValue
 	applied        operatorconfig.Snapshot
+	// inputListed is set once all jobs that were stored before the term have been added to the planner.
+	inputListed bool
 	// yieldNotBefore is the earliest time at which the term may end to hand over to a stronger entry.
 	yieldNotBefore time.Duration
 	// commitsInFlight counts the commits without a result yet.
@@ -73,7 +75,7 @@
 	}
 	mirror := store.NewMirror(store.MirrorConfig{
 		Feed: t.config.Store, Prefix: InputPrefix, Wait: watchWait, Logger: t.config.Logger,
-		Handle: func(events []store.Event, _ time.Time) { t.post(ctx, event{input: events}) },
+		Handle: func(events []store.Event, _ time.Time) { t.post(ctx, event{input: events, listed: true}) },
 	})
 	t.group.Go(func() { contain.RunWithRestart(ctx, t.config.Logger, "follow input", mirror.Run) })
 	if !contain.Call(t.config.Logger, "decisions", func() { t.runEventLoop(ctx) }) {
@@ -186,6 +188,7 @@
 		for _, change := range e.input {
 			t.handleInput(ctx, change)
 		}
+		t.inputListed = t.inputListed || e.listed
 	}
 }
 
