Blame a crash only on runs that had just started

Cause: if no run had just started when a worker crashed, all runs on it that don't last were blamed, and three blamed crashes give a job up. This was meant for tasks that crash their workers late; nothing tells them from the others.

Change: such runs are not blamed.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -62,8 +62,9 @@
 	return runs
 }
 
-// blame marks the runs that may have crashed their worker: those that had just started, or if there are none, all but
-// long-running ones. It returns their number, and whether those that had just started are of a single job.
+// blame marks the runs that may have crashed their worker: those that had just started. If there are none, nothing
+// tells a task that crashes its workers from one that was there by chance, and no run is blamed. It returns the number
+// of blamed runs, and whether they are of a single job.
 func blame(runs []crashedRun) (blamed int, alone bool) {
 	jobs := map[*entry]bool{}
 	for i := range runs {
@@ -73,16 +74,7 @@
 			blamed++
 		}
 	}
-	if blamed > 0 {
-		return blamed, len(jobs) == 1
-	}
-	for i := range runs {
-		if !runs[i].definition().LongRunning {
-			runs[i].blamed = true
-			blamed++
-		}
-	}
-	return blamed, false
+	return blamed, len(jobs) == 1
 }
 
 // countCrash counts a crash for one of the runs that it ended.
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// TestLongRunsAreNotBlamed guards against a sound job that is given up, with no failed run, because a few workers crashed
+// long after its tasks had started there.
+func TestLongRunsAreNotBlamed(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(3)
+	addJob(p, "sound", "q", job.Step{Count: 1})
+	commit(p)
+	for range maxCrashesBlamed {
+		is.True(crashUnder(p, "sound.0.0.0", func(string) time.Duration { return 2 * time.Second }))
+		advance(p, 2*time.Second)
+		is.Equal(stateOf(p, "sound"), job.StateRunning)
+		task, _ := p.Task("sound.0.0.0")
+		is.Equal(task.Phase, job.PhaseAssigned)
+	}
+}
+
 // TestHealthyTasksSurviveCrashesOfOthers guards against healthy jobs that are given up because they run where a task
 // crashes its worker.
 func TestHealthyTasksSurviveCrashesOfOthers(t *testing.T) {
