Never give up a long-running task after crashes

A job whose tasks last was given up after two crashes of workers within 250 ms of its starts, and never ran again: such tasks have to be restarted however they end.

Change: crashes of long-running tasks are counted, so a blamed one starts alone, but the job is not given up.

Evidence: TestWatchSurvivesCrashesAtItsStarts failed before.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -77,7 +77,8 @@
 	return blamed, len(jobs) == 1
 }
 
-// countCrash counts a crash for one of the runs that it ended.
+// countCrash counts a crash for one of the runs that it ended. A long-running task runs until it is cancelled, so its job
+// is not given up; a blamed one starts alone from then on.
 func (p *Planner) countCrash(r crashedRun, alone bool) {
 	if r.entry.progress.State.Final() || r.definition().LongRunning && !r.blamed {
 		return
@@ -92,7 +93,7 @@
 	}
 	r.entry.progress.SetCrashes(crashes)
 	p.markDirty(r.entry)
-	if tooManyCrashes(crashes, r.blamed && alone) {
+	if !r.definition().LongRunning && tooManyCrashes(crashes, r.blamed && alone) {
 		p.log("job given up", "job", r.entry.spec.ID, "task", r.name(), "crashes", crashes.Total, "blamed", crashes.Blamed)
 		p.finishJob(r.entry, job.StateFailed)
 	}
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -252,6 +252,22 @@
 	is.Equal(stateOf(next, "deadly"), job.StateRunning)
 }
 
+// TestWatchSurvivesCrashesAtItsStarts guards against a job whose tasks last that is given up, and never restarted, because
+// its workers go down soon after its starts, as workers that flap do.
+func TestWatchSurvivesCrashesAtItsStarts(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(2)
+	addJob(p, "watch", "q", job.Step{Count: 1, LongRunning: true})
+	commit(p)
+	for range 2 * maxCrashes {
+		is.True(crashUnder(p, "watch.0.0.0", func(string) time.Duration { return 10 * time.Millisecond }))
+		is.Equal(stateOf(p, "watch"), job.StateRunning)
+		advance(p, 2*time.Second)
+	}
+	task, _ := p.Task("watch.0.0.0")
+	is.Equal(task.Phase, job.PhaseAssigned)
+}
+
 // TestWatchSurvivesCrashesOfItsWorkers guards against a long-running task that is given up because its workers keep
 // crashing for another reason.
 func TestWatchSurvivesCrashesOfItsWorkers(t *testing.T) {
