Report the end of each agent link, in order

When the record of an agent changed, its session was cancelled, and the end of its link was posted under the cancelled context: it was dropped in half of the cases, and the agent counted as connected for good. The end could also follow the report on the next link, so that tasks of a connected agent would have moved.

Change: events are posted until the term ends, and a session waits for the end of the former one of the same agent.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -51,7 +51,7 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		revision, err := t.config.Store.Commit(call, transaction)
-		t.post(ctx, event{commit: &commitResult{
+		t.post(event{commit: &commitResult{
 			commit: next, snapshot: snapshot, sent: sent, took: time.Since(sent), revision: revision, err: err,
 		}})
 	})
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -19,6 +19,8 @@
 	name    string
 	address string
 	cancel  context.CancelFunc
+	// ended is closed once the session has posted its last event.
+	ended chan struct{}
 	// conn is the open link, or nil.
 	conn atomic.Pointer[link.Conn]
 	// lastPing is the sequence number of the agent's latest ping.
@@ -35,8 +37,9 @@
 	old := t.sessions[name]
 	if change.Deleted {
 		if old != nil {
+			// The session stays in the map, so that one for a later record waits for its end.
 			old.cancel()
-			delete(t.sessions, name)
+			old.address = ""
 		}
 		return
 	}
@@ -55,10 +58,17 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s := &session{term: t, name: name, address: record.Address, cancel: cancel}
+	s := &session{term: t, name: name, address: record.Address, cancel: cancel, ended: make(chan struct{})}
 	s.reachedAt.Store(int64(t.config.Now()))
 	t.sessions[name] = s
-	t.group.Go(func() { contain.RunWithRestart(ctx, t.config.Logger, "link to agent "+name, s.run) })
+	t.group.Go(func() {
+		defer close(s.ended)
+		if old != nil {
+			// Otherwise the end of the former link could follow the report on the next one.
+			<-old.ended
+		}
+		contain.RunWithRestart(ctx, t.config.Logger, "link to agent "+name, s.run)
+	})
 }
 
 // sendOrder sends an order on the link to its agent. Without a link the order is dropped: the agent's report
@@ -120,13 +130,14 @@
 	s.lastPing.Store(0)
 	s.conn.Store(&conn)
 	s.lastReply = 0
-	// Always report the end of the link; otherwise the worker would count as reachable forever.
+	// Always report the end of the link, also that of a session that was cancelled; otherwise the worker would count as
+	// reachable forever.
 	defer func() {
 		s.conn.Store(nil)
 		s.reachedAt.Store(int64(s.term.config.Now()))
-		s.term.post(ctx, event{agent: &agentEvent{name: s.name, down: true, lastReply: s.lastReply}})
+		s.term.post(event{agent: &agentEvent{name: s.name, down: true, lastReply: s.lastReply}})
 	}()
-	return s.receive(ctx, conn)
+	return s.receive(conn)
 }
 
 // fenceShift is the number of low bits of a fence that number the links of one term (about a million).
@@ -134,7 +145,7 @@
 
 // receive posts the agent's messages to the event loop until the link ends. It reports whether any message
 // arrived: an agent refuses the link of an older term by closing it without a message.
-func (s *session) receive(ctx context.Context, conn link.Conn) (accepted bool) {
+func (s *session) receive(conn link.Conn) (accepted bool) {
 	for {
 		message, err := conn.Receive()
 		if err != nil {
@@ -144,7 +155,7 @@
 		accepted = true
 		ping, ok := message.(*wire.AgentPing)
 		if !ok {
-			s.term.post(ctx, event{agent: &agentEvent{name: s.name, message: message}})
+			s.term.post(event{agent: &agentEvent{name: s.name, message: message}})
 			continue
 		}
 		s.lastPing.Store(ping.Sequence)
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -10,6 +12,7 @@
 
 	"clementineflow/internal/link"
 	"clementineflow/internal/planner"
+	"clementineflow/internal/store"
 	"clementineflow/internal/wire"
 )
 
@@ -38,3 +41,51 @@
 	is.NoErr(err)
 	is.Equal(message.Kind(), wire.KindStopRun) // stop orders are sent: they are always safe
 }
+
+// agentDialer opens links to agents that report at once. It refuses the addresses without an agent.
+type agentDialer map[string]bool
+
+// Dial implements link.Dialer.
+func (d agentDialer) Dial(_ context.Context, address string) (link.Conn, error) {
+	if !d[address] {
+		return nil, link.ErrDial
+	}
+	near, far := link.Pipe()
+	return near, far.Send(&wire.AgentReport{})
+}
+
+// TestReplacedSessionReportsItsEnd guards against an agent that counts as connected for good, so that its tasks never
+// move, because the end of its link was dropped as its record changed; and against the end of the former link that
+// arrives after the report on the next one.
+func TestReplacedSessionReportsItsEnd(t *testing.T) {
+	const replacements = 40
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		startedAt := time.Now()
+		term := newTerm(Config{
+			Now: func() time.Duration { return time.Since(startedAt) }, Logger: log.New(io.Discard),
+			Dialer: agentDialer{"even": true, "odd": true},
+		}, 1, 1, time.Hour)
+		ctx, cancel := context.WithCancel(context.Background())
+		term.done = ctx.Done()
+		record := func(address string) {
+			value, err := EncodeAgentRecord(&AgentRecord{Address: address})
+			is.NoErr(err)
+			term.handleAgentRecord(ctx, store.Event{KeyValue: store.KeyValue{Key: AgentKey("a"), Value: value}})
+			synctest.Wait()
+		}
+		for i := range replacements {
+			record([]string{"even", "odd"}[i%2])
+		}
+		record("gone")
+		connected := false
+		for range len(term.events) {
+			e := <-term.events
+			is.Equal(e.agent.down, connected) // reports and ends alternate
+			connected = !e.agent.down
+		}
+		is.True(!connected)
+		cancel()
+		term.group.Wait()
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -41,7 +41,9 @@
 	commitRetry      <-chan time.Time
 	commitRetryDelay time.Duration
 	sessions         map[string]*session
-	group            *conc.WaitGroup
+	// done is closed when the term ends.
+	done  <-chan struct{}
+	group *conc.WaitGroup
 }
 
 func newTerm(config Config, number uint64, lease store.LeaseID, validUntil time.Duration) *term {
@@ -62,6 +64,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer t.group.Wait()
 	defer cancel(context.Canceled)
+	t.done = ctx.Done()
 	t.config.Logger.Info("elected coordinator")
 	t.planner = planner.New(t.config.Timing, t.config.Now())
 	t.group.Go(func() {
@@ -75,7 +78,7 @@
 	}
 	mirror := store.NewMirror(store.MirrorConfig{
 		Feed: t.config.Store, Prefix: InputPrefix, Wait: watchWait, Logger: t.config.Logger,
-		Handle: func(events []store.Event, _ time.Time) { t.post(ctx, event{input: events, listed: true}) },
+		Handle: func(events []store.Event, _ time.Time) { t.post(event{input: events, listed: true}) },
 	})
 	t.group.Go(func() { contain.RunWithRestart(ctx, t.config.Logger, "follow input", mirror.Run) })
 	if !contain.Call(t.config.Logger, "decisions", func() { t.runEventLoop(ctx) }) {
@@ -85,11 +88,11 @@
 	return context.Cause(ctx)
 }
 
-// post queues an event for the event loop. It blocks while the queue is full.
-func (t *term) post(ctx context.Context, e event) {
+// post queues an event for the event loop. It blocks while the queue is full, until the term ends.
+func (t *term) post(e event) {
 	select {
 	case t.events <- e:
-	case <-ctx.Done():
+	case <-t.done:
 	}
 }
 
