Split five large files by duty

Functions moved unchanged to files of their own: calls and ends of the stand-in worker, claims and writes of a shard, the input of a term, the state of the runtime, the processes of the test region.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/contain"
-	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/planner"
 	"clementineflow/internal/store"
@@ -96,30 +94,6 @@
 	}
 }
 
-// loadProgress reads the progress records of all jobs. It retries until it succeeds or the context ends.
-func (t *term) loadProgress(ctx context.Context) error {
-	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		items, _, err := t.config.Store.ListAt(call, progressPrefix)
-		cancel()
-		if err == nil {
-			t.loadedProgress = make(map[string]store.KeyValue, len(items))
-			for _, item := range items {
-				t.loadedProgress[progressID(item.Key)] = item
-			}
-			t.config.Logger.Info("progress loaded", "jobs", len(items))
-			return nil
-		}
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-		t.config.Logger.Warn("progress not loaded, retrying", "error", err)
-		if !wait.Sleep(ctx, tickInterval) {
-			return context.Cause(ctx)
-		}
-	}
-}
-
 // runEventLoop handles events until the context ends.
 func (t *term) runEventLoop(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
@@ -195,53 +169,6 @@
 	}
 }
 
-// handleInput processes a change of a key under InputPrefix.
-func (t *term) handleInput(ctx context.Context, change store.Event) {
-	switch {
-	case strings.HasPrefix(change.Key, jobPrefix):
-		if !change.Deleted {
-			t.addJob(change)
-		}
-	case strings.HasPrefix(change.Key, cancelPrefix):
-		if !change.Deleted {
-			t.planner.Cancel(strings.TrimPrefix(change.Key, cancelPrefix))
-		}
-	case strings.HasPrefix(change.Key, agentPrefix):
-		t.handleAgentRecord(ctx, change)
-	}
-}
-
-// addJob adds a job to the planner, with its progress record if there is one.
-func (t *term) addJob(change store.Event) {
-	spec, err := decodeJob(strings.TrimPrefix(change.Key, jobPrefix), change.Value)
-	if err != nil {
-		store.ReportMalformed(t.config.Logger, "jobs", change.Key, err)
-		return
-	}
-	item := t.loadedProgress[spec.ID]
-	delete(t.loadedProgress, spec.ID)
-	var progress *job.Progress
-	if item.Revision != 0 {
-		if progress, err = job.DecodeProgress(item.Value); err != nil {
-			store.ReportMalformed(t.config.Logger, "progress", item.Key, err)
-			return
-		}
-	}
-	t.planner.AddJob(spec, progress, item.Revision, time.Since(spec.AcceptedAt))
-}
-
-// decodeJob decodes the record of the job with the ID. Another writer can have left one that no entry would accept.
-func decodeJob(id string, value []byte) (*job.Spec, error) {
-	spec, err := job.DecodeSpec(value)
-	if err != nil {
-		return nil, err
-	}
-	if spec.ID != id {
-		return nil, errors.Wrapf(job.ErrInvalid, "record of job %.80q", spec.ID)
-	}
-	return spec, spec.Validate()
-}
-
 // handleAgent passes an event of an agent to the planner.
 func (t *term) handleAgent(e *agentEvent) {
 	if e.down {
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -14,15 +14,10 @@
 
 	"github.com/charmbracelet/log"
 
-	"clementineflow/internal/coordinator"
 	"clementineflow/internal/gateway"
 	"clementineflow/internal/job"
-	"clementineflow/internal/link"
 	"clementineflow/internal/operatorconfig"
-	"clementineflow/internal/planner"
-	"clementineflow/internal/relay"
 	"clementineflow/internal/resource"
-	"clementineflow/internal/runner"
 	"clementineflow/internal/standin/jobworker"
 	"clementineflow/internal/standin/kvstore"
 	"clementineflow/internal/store"
@@ -91,28 +86,6 @@
 	startedAt time.Time
 }
 
-// entryProcess is one entry, which can be killed and restarted.
-type entryProcess struct {
-	region  *region
-	name    string
-	faulty  *kvstore.Faulty
-	relay   *relay.Relay
-	gateway *gateway.Gateway
-	local   *coordinator.Coordinator
-	cancel  context.CancelFunc
-	done    chan struct{}
-}
-
-// agentProcess is one agent with the worker beside it.
-type agentProcess struct {
-	region *region
-	name   string
-	zone   string
-	worker *jobworker.Worker
-	cancel context.CancelFunc
-	done   chan struct{}
-}
-
 func newRegion(t *testing.T, entries, agents int, rate float64) *region {
 	return newRegionWithLog(t, entries, agents, rate, newLogger())
 }
@@ -186,112 +159,6 @@
 	}
 }
 
-// start starts a new incarnation of the entry; the seed drives its store faults.
-func (e *entryProcess) start(seed uint64) {
-	r := e.region
-	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel, e.done = cancel, make(chan struct{})
-	e.faulty = kvstore.NewFaulty(r.memory, seed)
-	view := operatorconfig.NewView(testSource{}, zones, r.logger)
-	dialer := r.network.dialer(e.name)
-	e.relay = relay.New(relay.Config{
-		Name: e.name, Address: e.name, Strength: e.strength(), Store: e.faulty, Dialer: dialer, Logger: r.logger.With("entry", e.name),
-	})
-	e.local = coordinator.New(coordinator.Config{
-		Name: e.name, Address: e.name, Strength: e.strength(), Peers: e.relay, Store: e.relay, Dialer: dialer, View: view, Now: r.elapsed,
-		Logger: r.logger.With("entry", e.name),
-		Timing: planner.Timing{Authority: authority, Margin: authorityMargin, StatusPeriod: time.Hour},
-	})
-	peer := gateway.NewPeer(e.name, e.local, e.relay, dialer, r.logger)
-	e.gateway = gateway.New(gateway.Config{Store: e.relay, View: view, Coordinator: peer, Logger: r.logger})
-	mirror := store.NewMirror(store.MirrorConfig{
-		Feed: e.relay.Direct(), Prefix: testSource{}.Prefix(), Wait: time.Second, Handle: view.Apply, Logger: r.logger,
-	})
-	r.network.listen(e.name, func(conn link.Conn) { peer.Serve(ctx, conn) })
-	done := e.done
-	go func() {
-		defer close(done)
-		finished := make(chan struct{}, 4)
-		for _, run := range []func(context.Context){mirror.Run, e.local.Run, peer.Run, e.relay.Run} {
-			go func() { run(ctx); finished <- struct{}{} }()
-		}
-		for range 4 {
-			<-finished
-		}
-	}()
-}
-
-// strength returns the entry's share of a processor: entry-0 is the strongest.
-func (e *entryProcess) strength() float64 {
-	if e.name == "entry-0" {
-		return strongShare
-	}
-	return weakShare
-}
-
-// kill stops the entry abruptly: its store calls fail first, so it can't resign or hand over its lease.
-func (e *entryProcess) kill() {
-	if e.cancel == nil {
-		return
-	}
-	e.faulty.SetFaults(kvstore.Faults{Down: true})
-	e.region.network.listen(e.name, nil)
-	e.cancel()
-	<-e.done
-	e.cancel = nil
-}
-
-// start starts the agent and registers it.
-func (a *agentProcess) start() {
-	r := a.region
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel, a.done = cancel, make(chan struct{})
-	agent := runner.New(runner.Config{
-		Name: a.name, Worker: a.worker, LeaseTerm: leaseTerm, Authority: authority, Now: r.elapsed,
-		Logger: r.logger.With("agent", a.name),
-	})
-	r.network.listen(a.name, func(conn link.Conn) { agent.ServeLink(ctx, conn) })
-	value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: a.name})
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	r.put(coordinator.AgentKey(a.name), string(value))
-	done := a.done
-	go func() {
-		defer close(done)
-		reported := make(chan struct{})
-		go func() {
-			defer close(reported)
-			for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-				if d, up := a.worker.Describe(a.zone, sequence); up {
-					agent.UpdateStatus(d)
-				}
-				sleep(ctx, reportInterval)
-			}
-		}()
-		agent.Run(ctx)
-		<-reported
-	}()
-}
-
-// kill stops the agent; its worker keeps running under its lease.
-func (a *agentProcess) kill() {
-	if a.cancel == nil {
-		return
-	}
-	a.region.network.listen(a.name, nil)
-	a.cancel()
-	<-a.done
-	a.cancel = nil
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // newSpec returns a job of consecutive steps; tasks holds the number of tasks of each step.
 func newSpec(id string, tasks ...int) *job.Spec {
 	s := &job.Spec{ID: id, Payload: "work of " + id}
