--- a/test/jobs/path_test.go
+++ b/test/jobs/path_test.go
@@ -246,3 +246,28 @@
 		}
 	})
 }
+
+// TestCancelBeforeANewCoordinator guards against a coordinator that restarts the tasks of a job that was cancelled
+// before its term: it reads the cancellation before the job.
+func TestCancelBeforeANewCoordinator(t *testing.T) {
+	runInRegion(t, func(is *is.I, r *region) {
+		r.work = func(string) jobworker.Work {
+			return jobworker.Work{Duration: 30 * time.Second, Need: resource.Quantity{MilliCPU: 1000}}
+		}
+		const id = "0000000000000003"
+		is.Equal(r.submit(r.leader(), newSpec(id, 4, 4)), gateway.Accepted)
+		time.Sleep(300 * time.Millisecond)
+		leader, other := r.leader(), r.nonLeader()
+		r.network.setCut(leader.name, other.name, true)
+		r.network.setCut(other.name, leader.name, true)
+		leader.faulty.SetFaults(storeDown)
+		is.Equal(r.cancel(other, id), gateway.Accepted)
+		leader.kill()
+		time.Sleep(handoverTimeout)
+		state, err := r.state(other, id)
+		is.NoErr(err)
+		is.Equal(state, job.StateCancelled)
+		is.Equal(activeRuns(r), 0)
+		is.Equal(r.recorder.Starts(), 4)
+	})
+}
