Tell the ends on a lost worker to the next coordinator

A task that was done, or had failed, counted as absent and ran again.

Change: the agent of a lost worker answers a stop order with the end of the run if it has one, and the planner records ends for the incarnation that the task is assigned to, in place of the one that the agent reported last.

--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -8,22 +8,24 @@
 // ReasonUnanswered is the reason in a RunAbsent message if the worker did not answer the start request.
 const ReasonUnanswered = "unanswered"
 
-// HandleRunsEnded records the ends of runs that an agent reports. Reports on another incarnation of the worker are
-// ignored.
+// HandleRunsEnded records the ends of runs that an agent reports, also those on a worker that was lost before the
+// coordinator heard of it.
 func (p *Planner) HandleRunsEnded(agentName string, report *wire.RunEnded) {
 	a := p.agents[agentName]
-	if a == nil || a.incarnation.ID != report.WorkerID || a.incarnation.Incarnation != report.Incarnation {
+	if a == nil {
 		return
 	}
+	incarnation := job.WorkerIncarnation{Agent: agentName, ID: report.WorkerID, Incarnation: report.Incarnation}
 	for i := range report.Ends {
-		p.handleEnd(a, &report.Ends[i])
+		p.handleEnd(a, incarnation, &report.Ends[i])
 	}
 }
 
-// handleEnd records one reported end and confirms it to the agent after it was committed.
-func (p *Planner) handleEnd(a *agent, row *wire.EndRow) {
+// handleEnd records one reported end of a run on an incarnation of the agent's worker, and confirms it to the agent
+// after it was committed.
+func (p *Planner) handleEnd(a *agent, incarnation job.WorkerIncarnation, row *wire.EndRow) {
 	confirm := Order{Agent: a.name, Message: &wire.ConfirmEnds{
-		WorkerID: a.incarnation.ID, Incarnation: a.incarnation.Incarnation, Numbers: []uint64{row.Number},
+		WorkerID: incarnation.ID, Incarnation: incarnation.Incarnation, Numbers: []uint64{row.Number},
 	}}
 	r, ok := p.findTask(row.Task)
 	if !ok {
@@ -31,7 +33,7 @@
 		return
 	}
 	task := r.task()
-	if task.Phase == job.PhaseAssigned && task.Worker == a.incarnation && task.Run == row.Run {
+	if task.Phase == job.PhaseAssigned && task.Worker == incarnation && task.Run == row.Run {
 		p.recordEnd(a, r, job.Outcome(row.Outcome), row.Checkpoint)
 	}
 	p.afterCommit(r.entry, confirm)
--- a/internal/planner/lost_test.go
+++ b/internal/planner/lost_test.go
@@ -77,3 +77,25 @@
 	p.HandleReport(testReport(0))
 	is.Equal(totalStarts(commit(p)), 1)
 }
+
+// TestEndOnALostWorkerIsRecorded guards against a new coordinator that ignores the end of a run on a worker that was lost
+// before its first report.
+func TestEndOnALostWorkerIsRecorded(t *testing.T) {
+	is := is.New(t)
+	first := newTestPlanner(1)
+	addJob(first, "a", "q", job.Step{Count: 1})
+	commit(first)
+	p := restartPlanner(first, "a")
+	p.HandleReport(&wire.AgentReport{Agent: agentName(0), WorkerLost: true})
+	endTask(p, "a.0.0.0", 1)
+	is.Equal(totalStarts(commit(p)), 0)
+	is.Equal(stateOf(p, "a"), job.StateDone)
+	// An end on an incarnation that the task is not assigned to proves nothing.
+	addJob(p, "b", "q", job.Step{Count: 1})
+	p.HandleReport(testReport(0))
+	commit(p)
+	p.HandleRunsEnded(agentName(0), &wire.RunEnded{WorkerID: "w-" + agentName(0), Incarnation: 7, Ends: []wire.EndRow{
+		{Number: 1, Task: "b.0.0.0", Run: 1, Outcome: uint8(job.OutcomeDone)},
+	}})
+	is.Equal(stateOf(p, "b"), job.StateRunning)
+}
--- a/internal/planner/reconcile.go
+++ b/internal/planner/reconcile.go
@@ -20,7 +20,7 @@
 		if r, ok := p.findTask(report.Ends[i].Task); ok {
 			present[r] = true
 		}
-		p.handleEnd(a, &report.Ends[i])
+		p.handleEnd(a, a.incarnation, &report.Ends[i])
 	}
 	var missing []ref
 	for r := range p.runsByIncarnation[a.incarnation] {
--- a/internal/runner/ends.go
+++ b/internal/runner/ends.go
@@ -69,14 +69,20 @@
 	return rows
 }
 
-// contains reports whether the list holds an end of the run.
-func (l *endList) contains(task string, run uint32) bool {
+// find returns the end of the run, or false if the list holds none.
+func (l *endList) find(task string, run uint32) (wire.EndRow, bool) {
 	for _, row := range l.rows {
 		if row.Task == task && row.Run == run {
-			return true
+			return row, true
 		}
 	}
-	return false
+	return wire.EndRow{}, false
+}
+
+// contains reports whether the list holds an end of the run.
+func (l *endList) contains(task string, run uint32) bool {
+	_, ok := l.find(task, run)
+	return ok
 }
 
 // resendEndsLocked reports ends again that have stayed unrecorded for endsResendInterval: a report can be
--- a/internal/runner/loss_test.go
+++ b/internal/runner/loss_test.go
@@ -151,3 +151,24 @@
 		is.Equal(reports[len(reports)-1].Incarnation, int64(1))
 	})
 }
+
+// TestEndOnALostWorkerIsTold guards against a task that is done and runs again, because its worker was lost before the
+// end was recorded and the agent calls the run absent.
+func TestEndOnALostWorkerIsTold(t *testing.T) {
+	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+		lastPing := waitForReport(is, conn)
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
+		reportsOf(is, conn, taskDuration+time.Second)
+		w.Crash()
+		conn.Close()
+		time.Sleep(maxLossDelay)
+		next, agentEnd := link.Pipe()
+		go agent.ServeLink(context.Background(), agentEnd)
+		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		stopOf(is, next)
+		ended, ok := receiveMessage(t, next, wire.KindAgentReport).(*wire.RunEnded)
+		is.True(ok) // not RunAbsent
+		is.Equal(ended.Ends[0].Task, testTask)
+		next.Close()
+	})
+}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -12,14 +12,19 @@
 // handleStopLocked carries out a stop order, or reports the run as absent if the incarnation of the worker that it is
 // for has ended. While that is not known, the order is dropped; the coordinator repeats it.
 func (a *Agent) handleStopLocked(order *wire.StopRun) {
-	if a.runsEndedLocked(order.WorkerID, order.Incarnation) {
-		a.rejectOrderLocked(order.WorkerID, order.Incarnation, order.Task, order.Run, reasonOtherIncarnation)
+	known := order.WorkerID == a.worker.ID && order.Incarnation == a.worker.Incarnation
+	if end, ended := a.ends.find(order.Task, order.Run); known && ended {
+		if a.workerLost {
+			// No report lists the end while the worker is lost.
+			a.sendLocked(&wire.RunEnded{WorkerID: order.WorkerID, Incarnation: order.Incarnation, Ends: []wire.EndRow{end}})
+		}
 		return
 	}
-	if order.WorkerID != a.worker.ID || order.Incarnation != a.worker.Incarnation {
+	if a.runsEndedLocked(order.WorkerID, order.Incarnation) {
+		a.rejectOrderLocked(order.WorkerID, order.Incarnation, order.Task, order.Run, reasonOtherIncarnation)
 		return
 	}
-	if a.ends.contains(order.Task, order.Run) {
+	if !known {
 		return
 	}
 	local := a.runs[order.Task]
