Don't blame a crash on a start that was not confirmed

By the trace of a red play, its second crash was blamed on a run whose start call was the first call to find the worker gone.

Change: a crash report gives an age only to runs whose start the worker has confirmed.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -8,7 +8,8 @@
 	"clementineflow/internal/wire"
 )
 
-// unknownAge is the reported age of a run whose start the agent has not seen.
+// unknownAge is the reported age of a run whose start the agent has not seen, or that the worker has not confirmed: the
+// call may have been the first to find the worker gone.
 const unknownAge = -1
 
 // markStartSent records when the first start call of a run is sent.
@@ -59,10 +60,10 @@
 	var runs []wire.CrashedRun
 	for task, local := range a.runs {
 		switch {
-		case local.startSentAt > 0:
+		case local.startSentAt > 0 && local.startConfirmed:
 			age := max(0, failedAt-local.startSentAt)
 			runs = append(runs, wire.CrashedRun{Task: task, Run: local.run, AgeMillis: age.Milliseconds()})
-		case local.startConfirmed:
+		case local.startSentAt > 0 || local.startConfirmed:
 			runs = append(runs, wire.CrashedRun{Task: task, Run: local.run, AgeMillis: unknownAge})
 		}
 	}
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -120,3 +120,18 @@
 		t.Error("the lost run was not reported")
 	})
 }
+
+// TestUnconfirmedStartHasNoAge guards against a crash that is blamed on a run whose start call was the first to find the
+// worker gone: the run may never have been there.
+func TestUnconfirmedStartHasNoAge(t *testing.T) {
+	runWithAgentLink(t, func(is *is.I, conn link.Conn, w *jobworker.Worker) {
+		lastPing := waitForReport(is, conn)
+		w.DelayCalls(1, 4*time.Second)
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
+		synctest.Wait()
+		w.Crash()
+		crash := receiveCrash(t, conn)
+		is.Equal(len(crash.Runs), 1)
+		is.Equal(crash.Runs[0].AgeMillis, int64(-1))
+	})
+}
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -14,6 +14,6 @@
 	Task string
 	Run  uint32
 	// AgeMillis is the time, in milliseconds, from the first start call to the first sign of the crash. It is negative
-	// if the agent does not know when the run started.
+	// if the agent does not know when, or whether, the run started.
 	AgeMillis int64
 }
