--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -30,7 +30,7 @@
 	Occurrences int `cbor:"6,keyasint,omitempty"`
 	// AcceptedAt is the entry's wall clock time when the job was submitted. It is used only to order jobs.
 	AcceptedAt time.Time `cbor:"7,keyasint"`
-	// MaxAttempts bounds the failed runs of one task, as configured when the job was submitted. It holds while the queue
+	// MaxAttempts bounds the failed runs of one task, as configured when the job was submitted. It applies while the queue
 	// is not configured, and is zero in records of earlier versions.
 	MaxAttempts int `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/operatorconfig/config.go
+++ b/internal/operatorconfig/config.go
@@ -18,8 +18,8 @@
 	Services map[string]Service
 	// BodyBytes bounds the body of a caller's request.
 	BodyBytes int
-	// LeftOut tells why entries of the document were left out. The others are in effect.
-	LeftOut []error
+	// Malformed holds an error for each entry of the document that was skipped. The others are in effect.
+	Malformed []error
 
 	byHost map[string][]*Queue
 	byName map[string]*Queue
--- a/internal/operatorconfig/view.go
+++ b/internal/operatorconfig/view.go
@@ -150,7 +150,7 @@
 		v.logger.Error("configuration can't be decoded; the former one stays in effect", "revision", event.Revision, "error", err)
 		return false
 	}
-	for _, reason := range config.LeftOut {
+	for _, reason := range config.Malformed {
 		store.ReportMalformed(v.logger, "configuration", event.Key, reason)
 	}
 	v.revisions[event.Key] = event.Revision
--- a/internal/planner/lost_test.go
+++ b/internal/planner/lost_test.go
@@ -32,9 +32,9 @@
 	return next
 }
 
-// TestRunsOfALostWorkerAreAskedFor guards against tasks that stand still for good because a new coordinator takes an
-// agent that has lost its worker for one that has nothing to tell: nobody sends the message on the lost runs again.
-func TestRunsOfALostWorkerAreAskedFor(t *testing.T) {
+// TestRunsOfALostWorkerAreStopped guards against tasks that stand still for good because a new coordinator takes an
+// agent that has lost its worker for one without runs: the message on the lost runs is not sent again.
+func TestRunsOfALostWorkerAreStopped(t *testing.T) {
 	is := is.New(t)
 	first := newTestPlanner(1)
 	addJob(first, "a", "q", job.Step{Count: 2})
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -52,7 +52,7 @@
 	return &directory{own: own, logger: logger, records: map[string]record{}}
 }
 
-// apply updates the directory from changes of the records. A record that can't be used is left out.
+// apply updates the directory from changes of the records. A record that can't be used is skipped.
 func (d *directory) apply(events []store.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -13,9 +13,9 @@
 	"clementineflow/internal/wire"
 )
 
-// TestOddEntryRecordsAreLeftOut guards against one record of another writer that hides the records of the entries, or
+// TestMalformedEntryRecordsAreSkipped guards against one record of another writer that hides the records of the entries, or
 // whose strength makes every entry stand back in elections.
-func TestOddEntryRecordsAreLeftOut(t *testing.T) {
+func TestMalformedEntryRecordsAreSkipped(t *testing.T) {
 	is := is.New(t)
 	var output bytes.Buffer
 	d := newDirectory("own:1", log.New(&output))
@@ -28,15 +28,15 @@
 		return value
 	}
 	put("first", encode(record{Address: "10.1.0.1:7720", Strength: 0.4}))
-	odd := [][]byte{nil, bytes.Repeat([]byte{0x81}, 1000), []byte("{}"), encode(record{})}
+	malformed := [][]byte{nil, bytes.Repeat([]byte{0x81}, 1000), []byte("{}"), encode(record{})}
 	for _, strength := range []float64{math.NaN(), math.Inf(1), -1} {
-		odd = append(odd, encode(record{Address: "10.1.0.2:7720", Strength: strength}))
+		malformed = append(malformed, encode(record{Address: "10.1.0.2:7720", Strength: strength}))
 	}
-	for _, value := range odd {
-		put("odd", value)
+	for _, value := range malformed {
+		put("malformed", value)
 	}
 	put("last", encode(record{Address: "10.1.0.3:7720"}))
 	is.Equal(d.others(), []string{"10.1.0.1:7720", "10.1.0.3:7720"})
 	is.Equal(d.maxStrength(), 0.4)
-	is.Equal(strings.Count(output.String(), "record left out"), len(odd))
+	is.Equal(strings.Count(output.String(), "malformed record skipped"), len(malformed))
 }
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -76,7 +76,7 @@
 		Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskDuration} },
 	})
 	agent = runner.New(runner.Config{
-		Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: authorityOfTests,
+		Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: testAuthority,
 		Now: func() time.Duration { return time.Since(startedAt) + time.Second }, Logger: log.New(io.Discard),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/runner/loss_test.go
+++ b/internal/runner/loss_test.go
@@ -17,12 +17,12 @@
 const (
 	// maxLossDelay is how long the agent may take to tell that its worker refuses connections.
 	maxLossDelay = 1500 * time.Millisecond
-	// authorityOfTests is the authority of the agents that runWithAgent starts.
-	authorityOfTests = 5 * time.Second
+	// testAuthority is the authority of the agents that runWithAgent starts.
+	testAuthority = 5 * time.Second
 )
 
-// reportsOf answers pings for the duration and returns the reports and the absent runs that arrive.
-func reportsOf(is *is.I, conn link.Conn, d time.Duration) (reports []*wire.AgentReport, absent []*wire.RunAbsent) {
+// collectReports answers pings for the duration and returns the reports and the absent runs that arrive.
+func collectReports(is *is.I, conn link.Conn, d time.Duration) (reports []*wire.AgentReport, absent []*wire.RunAbsent) {
 	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
 		message, err := conn.Receive()
 		is.NoErr(err)
@@ -38,13 +38,13 @@
 	return reports, absent
 }
 
-// stopOf orders the agent to stop a run of the first incarnation.
-func stopOf(is *is.I, conn link.Conn) {
+// sendStop orders the agent to stop a run of the first incarnation.
+func sendStop(is *is.I, conn link.Conn) {
 	is.NoErr(conn.Send(&wire.StopRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1}))
 }
 
-// TestLossIsToldToTheNextCoordinator guards against a loss of a worker that only the coordinator at that time is told.
-func TestLossIsToldToTheNextCoordinator(t *testing.T) {
+// TestLossIsReportedToTheNextCoordinator guards against a loss of a worker that only the coordinator at that time is told.
+func TestLossIsReportedToTheNextCoordinator(t *testing.T) {
 	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
 		startBeforeCrash(is, conn, w, 10*time.Millisecond)
 		conn.Close()
@@ -52,8 +52,8 @@
 		next, agentEnd := link.Pipe()
 		go agent.ServeLink(context.Background(), agentEnd)
 		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
-		stopOf(is, next)
-		reports, absent := reportsOf(is, next, time.Second)
+		sendStop(is, next)
+		reports, absent := collectReports(is, next, time.Second)
 		is.True(reports[0].WorkerLost)
 		is.Equal(len(absent), 1)
 		is.Equal(absent[0].Incarnation, int64(1))
@@ -77,15 +77,15 @@
 	})
 }
 
-// TestRestartedAgentTellsThatNoWorkerIsThere guards against runs that are assigned for good to a worker that ended
+// TestRestartedAgentReportsAMissingWorker guards against runs that are assigned for good to a worker that ended
 // while its agent restarted: the new process has no worker that it could lose.
-func TestRestartedAgentTellsThatNoWorkerIsThere(t *testing.T) {
+func TestRestartedAgentReportsAMissingWorker(t *testing.T) {
 	runWithoutStatus(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, _ *runner.Agent) {
 		w.Crash()
-		reports, _ := reportsOf(is, conn, maxLossDelay)
+		reports, _ := collectReports(is, conn, maxLossDelay)
 		is.True(reports[len(reports)-1].WorkerLost)
-		stopOf(is, conn)
-		_, absent := reportsOf(is, conn, time.Second)
+		sendStop(is, conn)
+		_, absent := collectReports(is, conn, time.Second)
 		is.Equal(len(absent), 1)
 	})
 }
@@ -94,16 +94,16 @@
 // active on a worker whose status has not arrived yet, so that they would run twice.
 func TestRestartedAgentWaitsForTheLease(t *testing.T) {
 	runWithoutStatus(t, func(is *is.I, conn link.Conn, _ *jobworker.Worker, _ *runner.Agent) {
-		for waited := time.Duration(0); waited < authorityOfTests-time.Second; waited += time.Second {
-			stopOf(is, conn)
-			reports, absent := reportsOf(is, conn, time.Second)
+		for waited := time.Duration(0); waited < testAuthority-time.Second; waited += time.Second {
+			sendStop(is, conn)
+			reports, absent := collectReports(is, conn, time.Second)
 			is.Equal(len(absent), 0)
 			for _, report := range reports {
 				is.True(!report.WorkerLost)
 			}
 		}
 		// Every lease that the previous process has extended ends with its authority.
-		reports, _ := reportsOf(is, conn, 2*time.Second)
+		reports, _ := collectReports(is, conn, 2*time.Second)
 		is.True(reports[len(reports)-1].WorkerLost)
 	})
 }
@@ -115,7 +115,7 @@
 		status, _ := w.Describe("north", 1)
 		w.Crash()
 		is.True(agent.UpdateStatus(status))
-		reports, _ := reportsOf(is, conn, maxLossDelay)
+		reports, _ := collectReports(is, conn, maxLossDelay)
 		is.True(reports[len(reports)-1].WorkerLost)
 	})
 }
@@ -125,47 +125,47 @@
 	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
 		waitForReport(is, conn)
 		w.Crash()
-		reports, _ := reportsOf(is, conn, maxLossDelay)
+		reports, _ := collectReports(is, conn, maxLossDelay)
 		is.True(reports[len(reports)-1].WorkerLost)
 		w.Restart()
 		status, _ := w.Describe("north", 1)
 		is.True(agent.UpdateStatus(status))
-		reports, _ = reportsOf(is, conn, maxLossDelay)
+		reports, _ = collectReports(is, conn, maxLossDelay)
 		is.Equal(reports[len(reports)-1].Incarnation, int64(2))
 		is.True(!reports[len(reports)-1].WorkerLost)
 	})
 }
 
-// TestStatusOfNoWorkerHidesNothing guards against a status that names an incarnation that never existed, after which the
+// TestForeignStatusHidesNoWorker guards against a status that names an incarnation that never existed, after which the
 // agent takes the worker's own reports for those of a previous one.
-func TestStatusOfNoWorkerHidesNothing(t *testing.T) {
+func TestForeignStatusHidesNoWorker(t *testing.T) {
 	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
 		waitForReport(is, conn)
 		status, _ := w.Describe("north", 1)
-		odd := status
-		odd.Incarnation = 1000
-		agent.UpdateStatus(odd)
-		reportsOf(is, conn, time.Second)
+		foreign := status
+		foreign.Incarnation = 1000
+		agent.UpdateStatus(foreign)
+		collectReports(is, conn, time.Second)
 		is.True(agent.UpdateStatus(status))
-		reports, _ := reportsOf(is, conn, time.Second)
+		reports, _ := collectReports(is, conn, time.Second)
 		is.Equal(reports[len(reports)-1].Incarnation, int64(1))
 	})
 }
 
-// TestEndOnALostWorkerIsTold guards against a task that is done and runs again, because its worker was lost before the
+// TestEndOnALostWorkerIsReported guards against a task that is done and runs again, because its worker was lost before the
 // end was recorded and the agent calls the run absent.
-func TestEndOnALostWorkerIsTold(t *testing.T) {
+func TestEndOnALostWorkerIsReported(t *testing.T) {
 	runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
 		lastPing := waitForReport(is, conn)
 		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
-		reportsOf(is, conn, taskDuration+time.Second)
+		collectReports(is, conn, taskDuration+time.Second)
 		w.Crash()
 		conn.Close()
 		time.Sleep(maxLossDelay)
 		next, agentEnd := link.Pipe()
 		go agent.ServeLink(context.Background(), agentEnd)
 		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
-		stopOf(is, next)
+		sendStop(is, next)
 		ended, ok := receiveMessage(t, next, wire.KindAgentReport).(*wire.RunEnded)
 		is.True(ok) // not RunAbsent
 		is.Equal(ended.Ends[0].Task, testTask)
--- a/test/jobs/odd_record_test.go
+++ b/test/jobs/malformed_record_test.go
@@ -14,8 +14,8 @@
 	"clementineflow/internal/resource"
 )
 
-// oddSpecs returns jobs that no entry stores, by a name for messages.
-func oddSpecs() map[string]job.Step {
+// invalidSpecs returns jobs that no entry stores, by a name for messages.
+func invalidSpecs() map[string]job.Step {
 	return map[string]job.Step{
 		"count too large":   {Count: 1 << 46},
 		"count negative":    {Count: -1},
@@ -25,8 +25,8 @@
 	}
 }
 
-// putOddRecords writes records that another writer may leave below the prefixes that the coordinator reads.
-func putOddRecords(is *is.I, r *region) {
+// putMalformedRecords writes records that another writer may leave below the prefixes that the coordinator reads.
+func putMalformedRecords(is *is.I, r *region) {
 	nested := string(bytes.Repeat([]byte{0x81}, 100_000))
 	values := []string{"", "{}", "\xff", nested, "\xa1\x01\x1b\xff\xff\xff\xff\xff\xff\xff\xff", "\xa1\x01\xf9\x7e\x00"}
 	for i, value := range values {
@@ -36,7 +36,7 @@
 		}
 	}
 	i := 0
-	for _, step := range oddSpecs() {
+	for _, step := range invalidSpecs() {
 		i++
 		id := fmt.Sprintf("%016x", 0xbadbad00+i)
 		value, err := job.EncodeSpec(&job.Spec{ID: id, Queue: "queue", Service: "service", Steps: []job.Step{step}})
@@ -46,17 +46,17 @@
 	for i, address := range []string{"", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:70000", nested} {
 		value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: address})
 		is.NoErr(err)
-		r.put(coordinator.AgentKey(fmt.Sprintf("odd-%d", i)), string(value))
+		r.put(coordinator.AgentKey(fmt.Sprintf("malformed-%d", i)), string(value))
 		r.put(coordinator.AgentKey(""), string(value))
 	}
 }
 
-// TestOddRecordsHoldNothingUp guards against one record of another writer that ends each term of each coordinator, or
+// TestMalformedRecordsBlockNothing guards against one record of another writer that ends each term of each coordinator, or
 // that keeps it from reading the records beside it.
-func TestOddRecordsHoldNothingUp(t *testing.T) {
+func TestMalformedRecordsBlockNothing(t *testing.T) {
 	runInRegion(t, func(_ *is.I, r *region) {
 		is := is.NewRelaxed(t)
-		putOddRecords(is, r)
+		putMalformedRecords(is, r)
 		is.Equal(r.submit(r.nonLeader(), newSpec("0000000000000001", 3)), gateway.Accepted)
 		time.Sleep(5 * time.Second)
 		// The next coordinator reads all records before it decides.
