Report missing start orders until they arrive

Change: a report says that orders are missing as long as a run has none.

Evidence: TestMissingOrdersAreReportedToTheNextCoordinator failed before.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -62,9 +62,6 @@
 	absent map[string]uint32
 	// snapshotTaken is set once a snapshot of this incarnation of the worker has been applied.
 	snapshotTaken bool
-	// restarted is set until a report has told the coordinator that the agent lost its runs' attributes in a
-	// restart.
-	restarted bool
 	// snapshotClock is the worker's clock in the latest applied snapshot.
 	snapshotClock time.Duration
 	answeredAt    time.Duration
@@ -109,7 +106,7 @@
 		// The agent's previous process may have extended the lease up to the end of its authority.
 		lease: runLease{maxExtension: config.LeaseTerm, endsBy: config.Now() + config.Authority},
 		runs:  map[string]*localRun{}, absent: map[string]uint32{},
-		ends: newEndList(), restarted: true, pacer: newPacer(), wake: make(chan struct{}),
+		ends: newEndList(), pacer: newPacer(), wake: make(chan struct{}),
 	}
 }
 
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -100,18 +100,28 @@
 	report := &wire.AgentReport{Agent: a.config.Name, Crash: a.crash, WorkerLost: a.workerLost}
 	if a.worker.ID != "" && a.snapshotTaken && !a.workerLost {
 		report = a.buildReportLocked()
-		a.restarted = false
 	}
 	a.sendLocked(report)
 }
 
+// lacksOrdersLocked reports whether the agent has no order for a run on the worker, as after a restart. The order holds
+// what the agent needs to protect the run from fillers.
+func (a *Agent) lacksOrdersLocked() bool {
+	for _, local := range a.runs {
+		if local.startOrder == nil && !local.stopRequested {
+			return true
+		}
+	}
+	return false
+}
+
 // buildReportLocked returns the complete report of a worker that is ready to start runs.
 func (a *Agent) buildReportLocked() *wire.AgentReport {
 	report := &wire.AgentReport{
 		Agent: a.config.Name, WorkerID: a.worker.ID, Incarnation: a.worker.Incarnation,
 		Service: a.worker.Service, Zone: a.worker.Zone, Capacity: a.worker.Capacity, Labels: a.worker.Labels,
 		Leaving: a.worker.Leaving, RemainingMillis: a.worker.Remaining.Milliseconds(),
-		Ends: a.ends.unconfirmedRows(), Complete: true, Restarted: a.restarted, Crash: a.crash,
+		Ends: a.ends.unconfirmedRows(), Complete: true, Restarted: a.lacksOrdersLocked(), Crash: a.crash,
 	}
 	for task, local := range a.runs {
 		row := local.row
--- a/internal/runner/loss_test.go
+++ b/internal/runner/loss_test.go
@@ -172,3 +172,33 @@
 		next.Close()
 	})
 }
+
+// TestMissingOrdersAreReportedToTheNextCoordinator guards against a restarted agent that doesn't protect the runs on its
+// worker from fillers: the first coordinator that it told that it lacks their orders was about to end, and the next one
+// was not told (HARM).
+func TestMissingOrdersAreReportedToTheNextCoordinator(t *testing.T) {
+	runWithPreparedWorker(t, func(w *jobworker.Worker) {
+		// The former process of the agent has started the run.
+		_, err := w.StartRun(context.Background(), runner.StartRequest{
+			Target: runner.Target{ID: "w"}, Task: testTask, Run: 1, LeaseEnd: time.Minute,
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}, func(is *is.I, conn link.Conn, _ *jobworker.Worker, agent *runner.Agent) {
+		is.True(receiveCompleteReport(is, conn).Restarted)
+		conn.Close()
+		next, agentEnd := link.Pipe()
+		go agent.ServeLink(context.Background(), agentEnd)
+		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		is.True(receiveCompleteReport(is, next).Restarted)
+		is.NoErr(next.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1}))
+		synctest.Wait()
+		next.Close()
+		last, agentEnd := link.Pipe()
+		go agent.ServeLink(context.Background(), agentEnd)
+		is.NoErr(last.Send(&wire.CoordinatorHello{Term: 3, Fence: 3, Agent: agentName}))
+		is.True(!receiveCompleteReport(is, last).Restarted)
+		last.Close()
+	})
+}
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -105,7 +105,7 @@
 	Ends []EndRow `cbor:"11,keyasint,omitempty"`
 	// Complete is set if Runs and Ends were read from this incarnation of the worker.
 	Complete bool `cbor:"12,keyasint,omitempty"`
-	// Restarted is set if the agent has restarted and lost the attributes of the runs.
+	// Restarted is set while the agent lacks the start order of a run, which holds its attributes: it has restarted.
 	Restarted bool `cbor:"13,keyasint,omitempty"`
 	// Crash is the latest crash of the worker, or nil if the agent has seen none.
 	Crash *WorkerCrash `cbor:"14,keyasint,omitempty"`
