Skip registrations that no entry writes

From the report on the odd entry, in the product's own regions: a record of another writer under the prefix of the registrations, such as an empty map, counted as an entry. It would be the intended owner of shards, and since it denies no worker, none could be declared lost.

Change: a registration needs a name, an incarnation and the key of its name, in lists and watches alike. Others are skipped, logged and counted; if one has replaced this entry's own key, the entry registers again.

--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -4,10 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementineflow/internal/store"
 	"clementineflow/internal/wire"
 )
 
+// errInvalidRegistration reports a registration that no entry writes: it lacks a name or an incarnation, or is stored
+// under the key of another name.
+var errInvalidRegistration = errors.New("membership: invalid registration")
+
 // watch applies the store's events about registrations until the context ends.
 func (m *Member) watch(ctx context.Context) {
 	store.Follow(ctx, m.config.Store, m.prefix, m.highestRevision, m.applyEvent)
@@ -36,10 +42,18 @@
 	m.notifyIfChanged(m.applyPut(event.KeyValue))
 }
 
+// applyPut applies a registration from a list or a watch and reports whether the roster changed. A registration that no
+// entry writes is skipped.
 func (m *Member) applyPut(value store.KeyValue) bool {
 	entry, err := wire.Unmarshal[Entry](value.Value)
+	if err == nil && (entry.Name == "" || entry.Incarnation == "" || value.Key != m.prefix+entry.Name) {
+		err = errInvalidRegistration
+	}
 	if err != nil {
-		m.config.Logger.Error("ignoring a malformed registration", "key", value.Key, "error", err)
+		store.ReportMalformed(m.config.Logger, "registrations", value.Key, err)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.invalidateOwnLocked(value.Key, value.Revision)
 		return false
 	}
 	m.mu.Lock()
