Give an unconsidered task no wait in the check that nothing fits

By the trace the check was wrong: it rated a filler that no pass had considered yet (waitingSince 0) as if it had waited since the start of the clock, so it accepted a headroom of -0.05. The planner counts the wait from the pass that considers the task.

The check now assumes what the next pass assumes, and is as strict for all other tasks.

--- a/internal/planner/consistency_test.go
+++ b/internal/planner/consistency_test.go
@@ -162,11 +162,17 @@
 				continue
 			}
 			index := slices.IndexFunc(e.progress.Steps[step], func(task job.Task) bool { return task.Phase == job.PhaseWaiting })
-			options := p.optionsFor(e, step, p.workers, false)
-			best := options.best(ref{e, step, index})
+			r := ref{e, step, index}
+			if r.run().waitingSince == 0 {
+				// No pass has considered the task yet, so it has not waited: this is what the next pass assumes. The
+				// headroom that a filler accepts falls with its wait.
+				r.run().waitingSince = p.now
+				defer func() { r.run().waitingSince = 0 }()
+			}
+			best := p.optionsFor(e, step, p.workers, false).best(r)
 			if best != nil {
 				t.Fatalf("task %s waits though %s could take it, tried %d, changes %d to %d",
-					ref{e, step, index}.name(), best.agent.name, e.steps[step].nextChange, p.changes.base, p.changes.next())
+					r.name(), best.agent.name, e.steps[step].nextChange, p.changes.base, p.changes.next())
 			}
 		}
 	}
