Don't let long-running tasks wait without bound for a better worker

Cause: a task that waits is placed on sound workers only. A filler waits for headroom beside runs with a latency target and for idle processors, with a minimum that falls by 0.03 a second after 5 s; the tasks of a step waited one after the other, each with a clock that started when the one before it was placed. A worker after failed runs pauses for up to 8 s and then takes one run in 2 s. For a task that ends, this is a question of time; a long-running task has to run again within 6 s after its last run, and the loss of that run may already take 2 to 8 s to be noticed.

Change: what a step accepts is a typed tolerance. After one second a long-running task accepts throttling workers (its agent slows it down) and, with a low score, suspected ones: it may fail any number of times. All waiting tasks of such a step wait at the same time. Tasks that end are placed as before.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -71,17 +71,17 @@
 func (p *Planner) assignStep(c candidate, blocked *blockedShapes) {
 	definition := &c.entry.spec.Steps[c.step]
 	key := newShape(p.service(c.entry), definition)
-	starving := p.starving(c.entry)
-	if blocked.has(key, p.firstWait(c)) && !starving {
+	accepted := p.acceptableWorkers(c)
+	if accepted == soundWorkers && blocked.has(key, p.firstWait(c)) {
 		return
 	}
 	state := &c.entry.steps[c.step]
 	workers, all := p.changes.since(state.nextChange)
-	if all || starving {
-		workers = p.workers
+	if all || accepted != soundWorkers {
+		workers, all = p.workers, true
 	}
 	state.nextChange = p.changes.next()
-	options := p.optionsFor(c.entry, c.step, workers, starving)
+	options := p.optionsFor(c.entry, c.step, workers, accepted)
 	for index := range c.entry.progress.Steps[c.step] {
 		r := ref{c.entry, c.step, index}
 		if r.task().Phase != job.PhaseWaiting {
@@ -96,13 +96,13 @@
 		}
 		best := options.best(r)
 		if best == nil {
-			if (all || starving) && definition.MaxPerWorker == 0 {
+			if all && definition.MaxPerWorker == 0 {
 				blocked.add(key, p.now-r.run().waitingSince, len(options.list) == 0)
 			}
 			return
 		}
 		p.placeTask(r, best.agent)
-		if starving {
+		if accepted == throttlingWorkers {
 			// One throttled run is enough; the other tasks wait for capacity.
 			state.nextChange = 0
 			return
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -29,6 +29,9 @@
 	otherRackPenalty = 1
 	// avoidPenalty is subtracted from the score of the worker that the task should avoid after its previous run.
 	avoidPenalty = 4
+	// suspectedPenalty is subtracted from the score of a suspected worker. It is larger than any difference of the other
+	// scores.
+	suspectedPenalty = 16
 	// fillerPatience is how long a filler waits for a worker on which it is not expected to be throttled. Fillers
 	// placed without headroom press on the runs there, and hold the room that the first jobs need.
 	fillerPatience = 5 * time.Second
--- a/internal/planner/consistency_test.go
+++ b/internal/planner/consistency_test.go
@@ -169,7 +169,7 @@
 				r.run().waitingSince = p.now
 				defer func() { r.run().waitingSince = 0 }()
 			}
-			best := p.optionsFor(e, step, p.workers, false).best(r)
+			best := p.optionsFor(e, step, p.workers, soundWorkers).best(r)
 			if best != nil {
 				t.Fatalf("task %s waits though %s could take it, tried %d, changes %d to %d",
 					r.name(), best.agent.name, e.steps[step].nextChange, p.changes.base, p.changes.next())
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -21,18 +21,17 @@
 // options are the rated workers on which tasks of one step fit. They stay valid as long as only tasks of this
 // step are assigned.
 type options struct {
-	planner *Planner
-	entry   *entry
-	step    int
-	list    []option
-	// allowThrottled is set if a filler may be assigned to a worker on which it is throttled or stopped at first.
-	allowThrottled bool
+	planner  *Planner
+	entry    *entry
+	step     int
+	list     []option
+	accepted workerTolerance
 }
 
 // optionsFor returns those of the given workers on which the step's tasks fit. The list of workers may contain
 // duplicates.
-func (p *Planner) optionsFor(e *entry, step int, workers []*agent, allowThrottled bool) *options {
-	o := &options{planner: p, entry: e, step: step, list: p.optionBuffer[:0], allowThrottled: allowThrottled}
+func (p *Planner) optionsFor(e *entry, step int, workers []*agent, accepted workerTolerance) *options {
+	o := &options{planner: p, entry: e, step: step, list: p.optionBuffer[:0], accepted: accepted}
 	definition := &e.spec.Steps[step]
 	var counts map[*agent]int
 	if definition.MaxPerWorker > 0 {
@@ -65,11 +64,12 @@
 	if definition.MaxPerWorker > 0 && candidate.sameStep >= definition.MaxPerWorker {
 		return false
 	}
-	if a.suspected(o.planner.now) {
+	suspected := a.suspected(o.planner.now)
+	if suspected && o.accepted < anyWorkers {
 		return false
 	}
 	idle := float64(a.idleCPU())
-	if definition.Filler && !o.allowThrottled && idle < minFillerIdleShare*float64(definition.Need.MilliCPU) {
+	if definition.Filler && o.accepted < throttlingWorkers && idle < minFillerIdleShare*float64(definition.Need.MilliCPU) {
 		return false
 	}
 	if !reservedNeed(definition).FitsIn(a.free()) {
@@ -79,6 +79,9 @@
 		candidate.headroom = o.planner.headroom(definition, a)
 	}
 	candidate.score = o.planner.score(definition, a, candidate.headroom)
+	if suspected {
+		candidate.score -= suspectedPenalty
+	}
 	return true
 }
 
@@ -94,7 +97,7 @@
 	var bestScore float64
 	for i := range o.list {
 		candidate := &o.list[i]
-		if definition.Filler && !o.allowThrottled && candidate.headroom < lowest {
+		if definition.Filler && o.accepted < throttlingWorkers && candidate.headroom < lowest {
 			continue
 		}
 		score := candidate.score
--- a/internal/planner/sharing.go
+++ b/internal/planner/sharing.go
@@ -92,7 +92,7 @@
 	if r.definition().LongRunning && r.definition().MaxUnavailable > 0 {
 		return
 	}
-	better := p.optionsFor(r.entry, r.step, p.workers, false).best(r)
+	better := p.optionsFor(r.entry, r.step, p.workers, soundWorkers).best(r)
 	if better == nil || better.agent == a || better.headroom < p.currentHeadroom(a)+minMoveGain {
 		return
 	}
