Find runs that the worker neither runs nor lists as ended

No caller has reported it. In tests a task that lasts stands for good, and jobs never end, though the worker answers and has room (LOST).

Cause: the agent dropped a run only by its listed end, by a report as absent or with the incarnation, and never compared its runs with the worker's. The coordinator repeats no order for a run that was reported once. A worker lists no end if a poll of the previous incarnation is carried out late under the same id and confirms numbers that follow only later, if the row of the end names no run that can be read, or if it loses the run.

Change: each complete answer to a poll is compared with the runs whose start the worker had confirmed before that poll was sent. A run that is neither active nor listed as ended is stopped, so that no late call can start it, and reported as absent after a poll of its own. Polls are numbered, so neither a start that is confirmed while a poll waits nor answers that overtake each other make a run seem missing; answers with 500 ends or with a row that can't be read are left out. This is state and not an event: what one answer misses the next one finds. The stand-in worker carries out polls late, and keeps the number that they confirm.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -64,8 +64,10 @@
 	snapshotTaken bool
 	// snapshotClock is the worker's clock in the latest applied snapshot.
 	snapshotClock time.Duration
-	answeredAt    time.Duration
-	refusedSince  time.Duration
+	// pollsBegun counts the polls that were sent.
+	pollsBegun   uint64
+	answeredAt   time.Duration
+	refusedSince time.Duration
 	// failingSince is when the first call failed since the worker's last answer, or zero.
 	failingSince time.Duration
 	// crash is the latest crash of the worker, or nil. It is part of each report, since a report can be lost.
@@ -83,6 +85,10 @@
 	run  uint32
 	// startConfirmed is set once the worker has listed the run or confirmed its start.
 	startConfirmed bool
+	// confirmedAtPoll is the number of the latest poll that was sent when the start was confirmed, listedInPoll the number
+	// of the latest poll whose answer listed the run.
+	confirmedAtPoll uint64
+	listedInPoll    uint64
 	// stopRequested is set once the coordinator has ordered a stop, stopInProgress while it is carried out.
 	stopRequested  bool
 	stopInProgress bool
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -67,14 +67,44 @@
 	})
 }
 
-// startAgent runs an agent beside a worker that has sent it no status yet. stop ends the agent.
-func startAgent(t *testing.T) (w *jobworker.Worker, agent *runner.Agent, stop func()) {
+// runWithWorker runs an agent with a worker whose polls are replaced and passes the coordinator's end of the agent's link
+// to the test.
+func runWithWorker(t *testing.T, w *changedPolls, test func(is *is.I, conn link.Conn)) {
 	t.Helper()
-	startedAt := time.Now()
-	w = jobworker.New(jobworker.Config{
+	synctest.Test(t, func(t *testing.T) {
+		w.Worker = newWorker()
+		agent, stop := startAgentWith(w)
+		status, _ := w.Describe("north", 1)
+		coordinatorEnd, agentEnd := link.Pipe()
+		go agent.ServeLink(context.Background(), agentEnd)
+		if err := coordinatorEnd.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
+			t.Fatal(err)
+		}
+		agent.UpdateStatus(status)
+		test(is.New(t), coordinatorEnd)
+		coordinatorEnd.Close()
+		stop()
+	})
+}
+
+func newWorker() *jobworker.Worker {
+	return jobworker.New(jobworker.Config{
 		ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: noopObserver{},
 		Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskDuration} },
 	})
+}
+
+// startAgent runs an agent beside a worker that has sent it no status yet. stop ends the agent.
+func startAgent(t *testing.T) (w *jobworker.Worker, agent *runner.Agent, stop func()) {
+	t.Helper()
+	w = newWorker()
+	agent, stop = startAgentWith(w)
+	return w, agent, stop
+}
+
+// startAgentWith runs an agent beside the worker.
+func startAgentWith(w runner.Worker) (agent *runner.Agent, stop func()) {
+	startedAt := time.Now()
 	agent = runner.New(runner.Config{
 		Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: testAuthority,
 		Now: func() time.Duration { return time.Since(startedAt) + time.Second }, Logger: log.New(io.Discard),
@@ -82,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { agent.Run(ctx); close(done) }()
-	return w, agent, func() { cancel(); <-done }
+	return agent, func() { cancel(); <-done }
 }
 
 // receiveMessage answers pings until a message arrives that is neither a ping nor of a kind in skip, and
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -24,7 +24,7 @@
 			a.waitForWake(ctx, pollWait)
 			continue
 		}
-		sent := a.config.Now()
+		number, sent := a.beginPoll(), a.config.Now()
 		callCtx, cancel := context.WithTimeout(ctx, request.Wait+pollTimeout)
 		snapshot, err := a.config.Worker.Poll(callCtx, request)
 		cancel()
@@ -39,7 +39,7 @@
 			a.waitForWake(ctx, retryDelay)
 			continue
 		}
-		newEnds := a.applySnapshot(snapshot)
+		newEnds := a.applySnapshot(snapshot, number)
 		a.adjustPaces(ctx, snapshot)
 		if now := a.config.Now(); now-reportedAt >= progressInterval {
 			reportedAt = now
@@ -110,9 +110,9 @@
 	return same
 }
 
-// applySnapshot updates the runs from a snapshot of the worker and reports new ends to the coordinator. It
+// applySnapshot updates the runs from the answer to the poll with the number and reports new ends to the coordinator. It
 // returns whether there are any.
-func (a *Agent) applySnapshot(snapshot Snapshot) bool {
+func (a *Agent) applySnapshot(snapshot Snapshot, poll uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if snapshot.Incarnation != 0 && snapshot.Incarnation != a.worker.Incarnation {
@@ -125,7 +125,8 @@
 	foundRun := false
 	if snapshot.Clock >= a.snapshotClock {
 		a.snapshotClock = snapshot.Clock
-		foundRun = a.updateRunsLocked(snapshot)
+		foundRun = a.updateRunsLocked(snapshot, poll)
+		a.stopMissingRunsLocked(&snapshot, poll)
 	}
 	if !a.snapshotTaken || a.workerLost || foundRun {
 		a.snapshotTaken, a.workerLost = true, false
@@ -150,7 +151,7 @@
 }
 
 // updateRunsLocked updates the runs from a snapshot and reports whether the agent had not tracked one of them.
-func (a *Agent) updateRunsLocked(snapshot Snapshot) bool {
+func (a *Agent) updateRunsLocked(snapshot Snapshot, poll uint64) bool {
 	found := false
 	for i := range snapshot.Runs {
 		state := &snapshot.Runs[i]
@@ -164,7 +165,8 @@
 			found = true
 		}
 		if local.run == state.Run {
-			local.startConfirmed = true
+			a.confirmStartLocked(local)
+			local.listedInPoll = poll
 			local.row, local.measurement = state.RunRow, state.Measurement
 		}
 	}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -21,6 +21,7 @@
 	reasonStopped          = "stopped before it started"
 	reasonLeaseEnded       = "lease of the silent worker has ended"
 	reasonRefused          = "worker refuses connections"
+	reasonMissing          = "worker neither runs it nor lists its end"
 )
 
 // handleStartLocked carries out a start order. For a run that is already known, it only stores the order if
@@ -196,13 +197,13 @@
 func (a *Agent) markStarted(local *localRun, clock time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	local.startConfirmed = true
+	a.confirmStartLocked(local)
 	local.startedAt = clock
 	a.lease.observeClock(clock, a.config.Now())
 	a.config.Logger.Info("run started", "task", local.task, "run", local.run, "worker", a.worker.ID)
 	if local.stopRequested && !local.stopInProgress {
 		local.stopInProgress = true
-		a.goroutines.Go(func() { a.finishStop(a.baseCtx, local) })
+		a.goroutines.Go(func() { a.finishStop(a.baseCtx, local, reasonStopped) })
 	}
 }
 
@@ -240,7 +241,8 @@
 func (a *Agent) pollForRun(ctx context.Context, local *localRun) (present, ok bool) {
 	a.mu.Lock()
 	request := PollRequest{Target: a.targetLocked(), ConfirmedUpTo: a.confirmedLocked()}
-	dropped := a.runs[local.task] != local
+	a.pollsBegun++
+	number, dropped := a.pollsBegun, a.runs[local.task] != local
 	a.mu.Unlock()
 	if dropped {
 		return false, true
@@ -251,7 +253,7 @@
 	if err != nil {
 		return false, false
 	}
-	a.applySnapshot(snapshot)
+	a.applySnapshot(snapshot, number)
 	for i := range snapshot.Runs {
 		if snapshot.Runs[i].Task == local.task && snapshot.Runs[i].Run == local.run {
 			return true, true
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -40,13 +40,13 @@
 	// The retries of an unconfirmed start check stopRequested themselves.
 	if local.startConfirmed && !local.stopInProgress {
 		local.stopInProgress = true
-		a.goroutines.Go(func() { a.finishStop(a.baseCtx, local) })
+		a.goroutines.Go(func() { a.finishStop(a.baseCtx, local, reasonStopped) })
 	}
 }
 
 // finishStop stops a run and reports it as absent if it was not on the worker.
-func (a *Agent) finishStop(ctx context.Context, local *localRun) {
-	a.confirmAbsent(ctx, local, reasonStopped, true)
+func (a *Agent) finishStop(ctx context.Context, local *localRun, reason string) {
+	a.confirmAbsent(ctx, local, reason, true)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	local.stopInProgress = false
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -90,8 +90,15 @@
 	Incarnation int64
 	Runs        []RunState
 	Ends        []wire.EndRow
+	// EndsTruncated is set if the worker may hold more ends than it has listed.
+	EndsTruncated bool
+	// RowsSkipped is set if a row of the worker's lists could not be read.
+	RowsSkipped bool
 }
 
+// complete reports whether the snapshot holds all runs and ends of the worker.
+func (s *Snapshot) complete() bool { return !s.EndsTruncated && !s.RowsSkipped }
+
 // Worker makes calls to the worker on the agent's machine.
 type Worker interface {
 	// StartRun asks the worker to start a run and returns its answer. It is idempotent for the same run.
--- a/internal/standin/jobworker/calls.go
+++ b/internal/standin/jobworker/calls.go
@@ -124,7 +124,11 @@
 // Poll implements runner.Worker.
 func (w *Worker) Poll(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error) {
 	w.mu.Lock()
-	if _, err := w.checkCallLocked(request.ID); err != nil {
+	delayed, err := w.checkCallLocked(request.ID)
+	if delayed {
+		time.AfterFunc(w.orderDelay, func() { w.confirmLate(request) })
+	}
+	if err != nil {
 		w.mu.Unlock()
 		if errors.Is(err, errNoAnswer) {
 			<-ctx.Done()
@@ -151,6 +155,17 @@
 	return w.snapshotLocked(), nil
 }
 
+// confirmLate carries out the confirmation of a poll that got no answer.
+func (w *Worker) confirmLate(request runner.PollRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down || request.Fence < w.fence {
+		return
+	}
+	w.fence = request.Fence
+	w.confirmEndsLocked(request.ConfirmedUpTo)
+}
+
 // waitForEnd waits until a run ends, the duration has passed, or ctx is done.
 func (w *Worker) waitForEnd(ctx context.Context, wake <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/standin/jobworker/ends.go
+++ b/internal/standin/jobworker/ends.go
@@ -31,7 +31,9 @@
 	running.timer.Stop()
 	delete(w.runs, task)
 	w.lastEnd++
-	w.ends = append(w.ends, wire.EndRow{Number: w.lastEnd, Task: task, Run: running.run, Outcome: uint8(outcome)})
+	if w.lastEnd > w.confirmedUpTo {
+		w.ends = append(w.ends, wire.EndRow{Number: w.lastEnd, Task: task, Run: running.run, Outcome: uint8(outcome)})
+	}
 	w.config.Observer.Ended(w.config.ID, task, running.run, outcome)
 	w.wakeWaitersLocked()
 }
@@ -63,9 +65,10 @@
 	w.lastLapsedEnd = w.lastEnd
 }
 
-// confirmEndsLocked removes the listed ends up to a number. A call meant for the previous incarnation can't
-// confirm ends that are not listed yet.
+// confirmEndsLocked removes the listed ends up to a number. Ends up to it that follow later are never listed: a call
+// that was meant for the previous incarnation can confirm them.
 func (w *Worker) confirmEndsLocked(upTo uint64) {
+	w.confirmedUpTo = max(w.confirmedUpTo, upTo)
 	for len(w.ends) > 0 && w.ends[0].Number <= upTo {
 		row := w.ends[0]
 		w.ends = w.ends[1:]
--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -78,6 +78,8 @@
 	highestRuns map[string]uint32
 	ends        []wire.EndRow
 	lastEnd     uint64
+	// confirmedUpTo is the highest number that a poll has confirmed. Ends up to it are not listed.
+	confirmedUpTo uint64
 	// lastLapsedEnd is the highest number of an end that was listed when the lease last ended.
 	lastLapsedEnd uint64
 	wake          chan struct{}
@@ -105,7 +107,7 @@
 	w.startedAt = time.Now()
 	w.fence, w.leaseEnd = 0, 0
 	w.runs, w.highestRuns = map[string]*activeRun{}, map[string]uint32{}
-	w.ends, w.lastEnd, w.lastLapsedEnd = nil, 0, 0
+	w.ends, w.lastEnd, w.lastLapsedEnd, w.confirmedUpTo = nil, 0, 0, 0
 	w.wake = make(chan struct{})
 	w.down = false
 	w.staleConnections = w.incarnation > 1
@@ -155,6 +157,17 @@
 	return len(w.runs)
 }
 
+// LoseRun ends a run of a task without listing its end.
+func (w *Worker) LoseRun(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if running := w.runs[task]; running != nil {
+		running.timer.Stop()
+		delete(w.runs, task)
+		w.config.Observer.Ended(w.config.ID, task, running.run, job.OutcomeLeaseExpired)
+	}
+}
+
 // SetUnresponsive sets whether the worker leaves calls unanswered while its runs continue.
 func (w *Worker) SetUnresponsive(unresponsive bool) {
 	w.mu.Lock()
@@ -163,7 +176,8 @@
 }
 
 // DelayCalls makes the next count calls get no answer. Start calls among them are carried out after the
-// delay, other calls are dropped.
+// delay, unless the incarnation has changed. Polls confirm ends after the delay, in whichever incarnation runs then.
+// Other calls are dropped.
 func (w *Worker) DelayCalls(count int, delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
