Close an agent link that does not begin with a report

Cause, by the trace: the first report on a new coordinator's link was lost and the link stayed. The coordinator answered the agent's pings, so that the agent kept the worker's lease extended. The planner had got no report, took the agent for unreachable, and released its runs 7.8 s after the start of the term. The agent was never used again on that link.

On a TCP link a message is not lost alone, so this needs a process that drops the report. It is a second line of defence: a lease must not be extended for runs that the coordinator does not know of.

Change: a coordinator closes a link whose first message is not a report, and dials again. An agent sends its report first on each link.

--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -152,6 +152,11 @@
 			s.term.config.Logger.Warn("link to agent ended", "agent", s.name, "accepted", accepted, "error", err)
 			return accepted
 		}
+		if _, ok := message.(*wire.AgentReport); !accepted && !ok {
+			// A ping reply extends the lease of runs that the planner knows only from a report.
+			s.term.config.Logger.Warn("link to agent did not begin with a report, closing it", "agent", s.name, "kind", message.Kind())
+			return false
+		}
 		accepted = true
 		ping, ok := message.(*wire.AgentPing)
 		if !ok {
--- a/internal/coordinator/session_test.go
+++ b/internal/coordinator/session_test.go
@@ -89,3 +89,25 @@
 		term.group.Wait()
 	})
 }
+
+// TestNoPingReplyBeforeAReport guards against a lease that is extended for runs of which the planner has got no report,
+// so that they start again elsewhere while they still run.
+func TestNoPingReplyBeforeAReport(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	term := newTerm(Config{Now: func() time.Duration { return now }, Logger: log.New(io.Discard)}, 1, 1, now+time.Second)
+	s := &session{term: term, name: "agent"}
+
+	near, far := link.Pipe()
+	is.NoErr(far.Send(&wire.AgentPing{Sequence: 1}))
+	time.AfterFunc(time.Second, far.Close)
+	is.True(!s.receive(near))
+	is.Equal(s.lastReply, time.Duration(0))
+
+	near, far = link.Pipe()
+	is.NoErr(far.Send(&wire.AgentReport{}))
+	is.NoErr(far.Send(&wire.AgentPing{Sequence: 1}))
+	time.AfterFunc(time.Second, far.Close)
+	is.True(s.receive(near))
+	is.Equal(s.lastReply, now)
+}
