Report missing start orders again on the same link

Cause: the agent told once a link that it lacks orders. The coordinator drops its answer while its term may have ended (sendOrder); when its lease is then renewed after all, the term and the link go on. The order is not repeated either, as the run counts as reported.

Evidence: TestMissingOrdersAreReportedAgain failed before ("not true: len(reports) > 0").

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -53,7 +53,9 @@
 	incarnationVerified bool
 	coordinatorTerm     uint64
 	conn                link.Conn
-	pings               pingLog
+	// reportedAt is when the latest report was sent.
+	reportedAt time.Duration
+	pings      pingLog
 
 	runs map[string]*localRun
 	ends endList
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -29,6 +29,7 @@
 const (
 	testTask     = "5c0e7a21d94b36f8.0.0.0"
 	taskDuration = 300 * time.Millisecond
+	longTask     = "5c0e7a21d94b36f8.0.0.1"
 	agentName    = "agent-0"
 )
 
@@ -73,7 +74,12 @@
 	startedAt := time.Now()
 	w = jobworker.New(jobworker.Config{
 		ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: noopObserver{},
-		Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskDuration} },
+		Work: func(task string) jobworker.Work {
+			if task == longTask {
+				return jobworker.Work{Duration: time.Hour}
+			}
+			return jobworker.Work{Duration: taskDuration}
+		},
 	})
 	agent = runner.New(runner.Config{
 		Name: agentName, Worker: w, LeaseTerm: 4 * time.Second, Authority: testAuthority,
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -101,9 +101,20 @@
 	if a.worker.ID != "" && a.snapshotTaken && !a.workerLost {
 		report = a.buildReportLocked()
 	}
+	a.reportedAt = a.config.Now()
 	a.sendLocked(report)
 }
 
+// resendReportLocked reports again that the orders of runs are missing, until they arrive: the coordinator drops orders
+// while its term may have ended.
+func (a *Agent) resendReportLocked() {
+	if a.config.Now()-a.reportedAt < ordersResendInterval || !a.lacksOrdersLocked() {
+		return
+	}
+	a.config.Logger.Info("reporting missing start orders again", "runs", len(a.runs))
+	a.sendReportLocked()
+}
+
 // lacksOrdersLocked reports whether the agent has no order for a run on the worker, as after a restart. The order holds
 // what the agent needs to protect the run from fillers.
 func (a *Agent) lacksOrdersLocked() bool {
--- a/internal/runner/loss_test.go
+++ b/internal/runner/loss_test.go
@@ -202,3 +202,26 @@
 		last.Close()
 	})
 }
+
+// TestMissingOrdersAreReportedAgain guards against a restarted agent that doesn't protect the runs on its worker from
+// fillers, because the coordinator dropped its answer to the only report on the link that orders are missing (HARM).
+func TestMissingOrdersAreReportedAgain(t *testing.T) {
+	runWithPreparedWorker(t, func(w *jobworker.Worker) {
+		_, err := w.StartRun(context.Background(), runner.StartRequest{
+			Target: runner.Target{ID: "w"}, Task: longTask, Run: 1, LeaseEnd: time.Minute,
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}, func(is *is.I, conn link.Conn, _ *jobworker.Worker, _ *runner.Agent) {
+		is.True(receiveCompleteReport(is, conn).Restarted)
+		const resent = 4 * time.Second
+		reports, _ := collectReports(is, conn, resent)
+		is.True(len(reports) > 0)
+		is.True(reports[len(reports)-1].Restarted)
+		is.NoErr(conn.Send(&wire.StartRun{Task: longTask, Run: 1, WorkerID: "w", Incarnation: 1}))
+		synctest.Wait()
+		reports, _ = collectReports(is, conn, resent)
+		is.Equal(len(reports), 0)
+	})
+}
