--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -29,6 +29,7 @@
 const (
 	testTask     = "5c0e7a21d94b36f8.0.0.0"
 	taskDuration = 300 * time.Millisecond
+	longTask     = "5c0e7a21d94b36f8.0.0.1"
 	agentName    = "agent-0"
 )
 
@@ -90,7 +91,12 @@
 func newWorker() *jobworker.Worker {
 	return jobworker.New(jobworker.Config{
 		ID: "w", Capacity: resource.Quantity{MilliCPU: 4000}, Observer: noopObserver{},
-		Work: func(string) jobworker.Work { return jobworker.Work{Duration: taskDuration} },
+		Work: func(task string) jobworker.Work {
+			if task == longTask {
+				return jobworker.Work{Duration: time.Hour}
+			}
+			return jobworker.Work{Duration: taskDuration}
+		},
 	})
 }
 
