--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,9 +31,6 @@
 	term    *term
 	// yieldNotBefore is the earliest time at which this entry may hand over to a stronger one again.
 	yieldNotBefore time.Duration
-	// lastTerm is the number of the latest term that the mirror has reported.
-	lastTerm  uint64
-	sightings sightings
 }
 
 // New returns a coordinator. It takes part in elections once Run is called.
@@ -59,16 +56,11 @@
 	first := !c.known
 	c.known = true
 	for _, event := range events {
-		if event.Key == unreachableKey {
-			// A malformed record names no agents; the next coordinator reports it.
-			_, _ = c.sightings.observe(event.KeyValue, c.config.Now())
-		}
 		if event.Key != leaderKey {
 			continue
 		}
 		record := &leaderRecord{}
 		if !event.Deleted {
-			c.lastTerm = uint64(event.Revision)
 			var err error
 			if record, err = wire.Unmarshal[leaderRecord](event.Value); err != nil {
 				c.config.Logger.Error("leader record can't be decoded", "error", err)
@@ -127,7 +119,6 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := c.config.Now()
-	former := c.formerTerm()
 	lease, err := c.config.Store.GrantLease(call, leaseTTL)
 	if err != nil {
 		return err
@@ -144,7 +135,6 @@
 	}
 	t := newTerm(c.config, uint64(revision), lease, sent+leaseTTL-leaseSafetyMargin)
 	t.yieldNotBefore = c.yieldNotBefore
-	t.former, t.seen = former, &c.sightings
 	c.setTerm(t, record)
 	err = t.run(ctx)
 	c.clearTerm()
@@ -156,13 +146,6 @@
 	return nil
 }
 
-// formerTerm returns the number of the latest known term.
-func (c *Coordinator) formerTerm() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lastTerm
-}
-
 // setTerm makes the term the current one, with this entry as the leader.
 func (c *Coordinator) setTerm(t *term, record leaderRecord) {
 	c.mu.Lock()
--- a/internal/coordinator/keys.go
+++ b/internal/coordinator/keys.go
@@ -9,8 +9,6 @@
 // Keys in the store.
 const (
 	leaderKey = "leader"
-	// unreachableKey is under the prefix leaderKey, so that all entries follow both in one watch.
-	unreachableKey = leaderKey + "/unreachable"
 	// InputPrefix is the prefix of all keys that other processes write for the coordinator.
 	InputPrefix    = "in/"
 	jobPrefix      = InputPrefix + "job/"
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -25,6 +25,8 @@
 	conn atomic.Pointer[link.Conn]
 	// lastPing is the sequence number of the agent's latest ping.
 	lastPing atomic.Uint64
+	// lastReply is the time of the last ping reply on the link; only the session's own goroutine uses it.
+	lastReply time.Duration
 	// reachedAt is when the agent was last known to be reachable, in nanoseconds of Config.Now.
 	reachedAt atomic.Int64
 }
@@ -58,7 +60,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{term: t, name: name, address: record.Address, cancel: cancel, ended: make(chan struct{})}
 	s.reachedAt.Store(int64(t.config.Now()))
-	t.reachability.add(name, t.startedAt)
 	t.sessions[name] = s
 	t.group.Go(func() {
 		defer close(s.ended)
@@ -128,14 +129,13 @@
 	}
 	s.lastPing.Store(0)
 	s.conn.Store(&conn)
-	s.term.reachability.linkOpened(s.name, hello.Fence)
+	s.lastReply = 0
 	// Always report the end of the link, also that of a session that was cancelled; otherwise the worker would count as
 	// reachable forever.
 	defer func() {
 		s.conn.Store(nil)
 		s.reachedAt.Store(int64(s.term.config.Now()))
-		lastReply := s.term.reachability.linkEnded(s.name)
-		s.term.post(event{agent: &agentEvent{name: s.name, down: true, lastReply: lastReply}})
+		s.term.post(event{agent: &agentEvent{name: s.name, down: true, lastReply: s.lastReply}})
 	}()
 	return s.receive(conn)
 }
@@ -159,11 +159,13 @@
 			continue
 		}
 		s.lastPing.Store(ping.Sequence)
-		s.term.reachability.acknowledge(s.name, func() {
-			if conn.Send(&wire.PingReply{Sequence: ping.Sequence}) != nil {
-				conn.Close()
-			}
-		})
+		if !s.term.valid() {
+			continue
+		}
+		s.lastReply = s.term.config.Now()
+		if err := conn.Send(&wire.PingReply{Sequence: ping.Sequence}); err != nil {
+			return accepted
+		}
 	}
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -21,17 +21,10 @@
 	config Config
 	number uint64
 	lease  store.LeaseID
-	// startedAt is when the term began, on the clock of Config.Now.
-	startedAt time.Duration
 	// validUntil is the time until which no other entry can take over, in nanoseconds of Config.Now.
 	validUntil atomic.Int64
 	fences     atomic.Uint64
 
-	// former is the number of the term before this one as far as known; seen holds what the entry saw of its record.
-	former       uint64
-	seen         *sightings
-	reachability *reachability
-
 	events         chan event
 	planner        *planner.Planner
 	loadedProgress map[string]store.KeyValue
@@ -57,7 +50,6 @@
 		config: config, number: number, lease: lease,
 		events: make(chan event, eventQueueLength), sessions: map[string]*session{}, group: conc.NewWaitGroup(),
 	}
-	t.reachability = newReachability(t)
 	t.validUntil.Store(int64(validUntil))
 	return t
 }
@@ -79,11 +71,6 @@
 	t.group.Go(func() {
 		contain.RunWithRestart(ctx, t.config.Logger, "hand-over", func(ctx context.Context) { t.yieldToStronger(ctx, cancel) })
 	})
-	t.startedAt = t.config.Now()
-	if t.seen != nil {
-		t.planner.SetLastAcknowledged(t.reachability.inherit(ctx, t.seen, t.former))
-		t.group.Go(func() { contain.RunWithRestart(ctx, t.config.Logger, "unreachable agents", t.reachability.run) })
-	}
 	if err := t.loadProgress(ctx); err != nil {
 		return err
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -139,7 +139,7 @@
 		return
 	}
 	a.connected = false
-	a.authorityEnds = max(a.authorityEnds, p.authorityEnd(name, lastReply))
+	a.authorityEnds = max(a.authorityEnds, max(lastReply, p.termStart)+p.timing.Authority+p.timing.Margin)
 	p.log("agent disconnected", "agent", name, "assigned", len(p.runsByIncarnation[a.incarnation]), "tasks_move_in_ms", (a.authorityEnds - p.now).Milliseconds())
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,9 +17,7 @@
 	// now is the time of the event being handled.
 	now       time.Duration
 	termStart time.Duration
-	// lastAcks holds when agents that former terms had lost were last acknowledged, at the latest.
-	lastAcks map[string]time.Duration
-	operator operatorconfig.Snapshot
+	operator  operatorconfig.Snapshot
 
 	jobs   map[string]*entry
 	agents map[string]*agent
@@ -58,19 +56,6 @@
 	}
 }
 
-// SetLastAcknowledged sets when the last pings of agents were acknowledged at the latest, by former terms. It is called
-// before any other event. The pings of all other agents may have been acknowledged until the term started.
-func (p *Planner) SetLastAcknowledged(lastAcks map[string]time.Duration) { p.lastAcks = lastAcks }
-
-// authorityEnd returns when the authority of an agent has certainly ended if this term last acknowledged it at lastReply.
-func (p *Planner) authorityEnd(agent string, lastReply time.Duration) time.Duration {
-	former, ok := p.lastAcks[agent]
-	if !ok {
-		former = p.termStart
-	}
-	return max(former, lastReply) + p.timing.Authority + p.timing.Margin
-}
-
 // Advance sets the time of the events that follow. Time never moves backwards.
 func (p *Planner) Advance(now time.Duration) { p.now = max(p.now, now) }
 
@@ -194,7 +179,7 @@
 		a.reserve(r.definition(), 1)
 	}
 	if p.agents[incarnation.Agent] == nil {
-		p.addAgent(&agent{name: incarnation.Agent, authorityEnds: p.authorityEnd(incarnation.Agent, 0)})
+		p.addAgent(&agent{name: incarnation.Agent, authorityEnds: p.termStart + p.timing.Authority + p.timing.Margin})
 	}
 }
 
