Call no run absent before all ends of its worker are listed

No caller has reported it.

The restarted agent reports the ends that are listed, the coordinator misses a run and repeats its start, and the agent, which doesn't know the run, answers that the order has expired and the run is absent. Its end as done is listed with the next answer. A run that was to be stopped, or whose start was refused, was called absent in the same way.

Change: after an answer that is cut off, a run that it lacks is not absent; the poll is repeated. Until an answer has listed all ends of the worker's incarnation, the agent refuses no start order by itself: it passes the order on to the worker or drops it, and the coordinator repeats it.

Evidence: TestStopOfAnEndBehindALongList and TestRestartedAgentWithALongListOfEnds failed before ("not true: ok // not RunAbsent").

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -62,6 +62,8 @@
 	absent map[string]uint32
 	// snapshotTaken is set once a snapshot of this incarnation of the worker has been applied.
 	snapshotTaken bool
+	// endsKnown is set once a snapshot of this incarnation has listed all of the worker's ends.
+	endsKnown bool
 	// snapshotClock is the worker's clock in the latest applied snapshot.
 	snapshotClock time.Duration
 	// pollsBegun counts the polls that were sent.
--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -73,6 +73,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w.Worker = newWorker()
+		if w.prepare != nil {
+			w.prepare()
+		}
 		agent, stop := startAgentWith(w)
 		status, _ := w.Describe("north", 1)
 		coordinatorEnd, agentEnd := link.Pipe()
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -53,7 +53,7 @@
 	a.runs = map[string]*localRun{}
 	a.ends = newEndList()
 	a.absent = map[string]uint32{}
-	a.snapshotTaken, a.workerLost, a.incarnationVerified = false, false, false
+	a.snapshotTaken, a.endsKnown, a.workerLost, a.incarnationVerified = false, false, false, false
 	a.snapshotClock, a.refusedSince, a.failingSince = 0, 0, 0
 	a.answeredAt = a.config.Now()
 	a.pacer.resetRuns()
--- a/internal/runner/missing_test.go
+++ b/internal/runner/missing_test.go
@@ -71,8 +71,10 @@
 // changedPolls is a worker whose polls are replaced.
 type changedPolls struct {
 	*jobworker.Worker
-	poll  func(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error)
-	stops int
+	poll func(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error)
+	// prepare is called before the agent starts.
+	prepare func()
+	stops   int
 }
 
 func (w *changedPolls) Poll(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error) {
@@ -165,3 +167,39 @@
 	listEndsLate(w)
 	expectDone(t, w)
 }
+
+// TestStopOfAnEndBehindALongList guards against a run that is done and reported as absent when the coordinator has ordered to
+// stop it.
+func TestStopOfAnEndBehindALongList(t *testing.T) {
+	w := &changedPolls{}
+	listEndsLate(w)
+	runWithWorker(t, w, func(is *is.I, conn link.Conn) {
+		startRun(is, conn, w.Worker, 1)
+		time.Sleep(2 * taskDuration)
+		sendStop(is, conn)
+		ended, ok := receiveMessage(t, conn, wire.KindRunProgress, wire.KindAgentReport).(*wire.RunEnded)
+		is.True(ok) // not RunAbsent
+		is.Equal(ended.Ends[0].Outcome, uint8(job.OutcomeDone))
+	})
+}
+
+// TestRestartedAgentWithALongListOfEnds guards against a run that is done and reported as absent by a restarted agent,
+// because it was ordered again while its end followed after those that the worker lists at a time.
+func TestRestartedAgentWithALongListOfEnds(t *testing.T) {
+	w := &changedPolls{}
+	listEndsLate(w)
+	w.prepare = func() {
+		request := runner.StartRequest{Target: runner.Target{ID: "w"}, Task: testTask, Run: 1, LeaseEnd: time.Minute}
+		if _, err := w.StartRun(context.Background(), request); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(2 * taskDuration)
+	}
+	runWithWorker(t, w, func(is *is.I, conn link.Conn) {
+		waitForReport(is, conn)
+		is.NoErr(conn.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1})) // names no ping
+		ended, ok := receiveMessage(t, conn, wire.KindRunProgress, wire.KindAgentReport).(*wire.RunEnded)
+		is.True(ok) // not RunAbsent
+		is.Equal(ended.Ends[0].Outcome, uint8(job.OutcomeDone))
+	})
+}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -122,6 +122,7 @@
 	a.answeredAt, a.refusedSince, a.failingSince, a.incarnationVerified = now, 0, 0, true
 	a.lease.observeClock(snapshot.Clock, now)
 	added := a.addEndsLocked(snapshot.Ends)
+	a.endsKnown = a.endsKnown || !snapshot.EndsTruncated
 	foundRun := false
 	if snapshot.Clock >= a.snapshotClock {
 		a.snapshotClock = snapshot.Clock
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -45,6 +45,10 @@
 		return
 	}
 	if reason := a.rejectReasonLocked(order); reason != "" {
+		if !a.endsKnown {
+			// The run may have ended on the worker without being listed yet. The coordinator repeats the order.
+			return
+		}
 		a.config.Logger.Info("start order rejected", "task", order.Task, "run", order.Run, "reason", reason)
 		a.rejectOrderLocked(order.WorkerID, order.Incarnation, order.Task, order.Run, reason)
 		return
@@ -237,7 +241,8 @@
 }
 
 // pollForRun polls the worker without waiting and reports whether the run is on it or has a listed end. A
-// run that the agent no longer tracks is reported as not present. ok is false if the poll failed.
+// run that the agent no longer tracks is reported as not present. ok is false if the poll failed, or if the end of the
+// run may be among those that the worker has not listed yet.
 func (a *Agent) pollForRun(ctx context.Context, local *localRun) (present, ok bool) {
 	a.mu.Lock()
 	request := PollRequest{Target: a.targetLocked(), ConfirmedUpTo: a.confirmedLocked()}
@@ -261,5 +266,6 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ends.contains(local.task, local.run), true
+	present = a.ends.contains(local.task, local.run)
+	return present, present || !snapshot.EndsTruncated
 }
--- a/internal/standin/jobworker/calls.go
+++ b/internal/standin/jobworker/calls.go
@@ -178,7 +178,14 @@
 }
 
 func (w *Worker) snapshotLocked() runner.Snapshot {
-	snapshot := runner.Snapshot{Clock: w.clockLocked(), Incarnation: w.incarnation, Ends: append([]wire.EndRow(nil), w.ends...)}
+	ends, limit := w.ends, w.config.MaxListedEnds
+	truncated := limit > 0 && len(ends) >= limit
+	if truncated {
+		ends = ends[:limit]
+	}
+	snapshot := runner.Snapshot{
+		Clock: w.clockLocked(), Incarnation: w.incarnation, Ends: append([]wire.EndRow(nil), ends...), EndsTruncated: truncated,
+	}
 	for task, running := range w.runs {
 		snapshot.Runs = append(snapshot.Runs, runner.RunState{RunRow: wire.RunRow{Task: task, Run: running.run, ProgressPercent: 1}})
 	}
--- a/internal/standin/jobworker/worker.go
+++ b/internal/standin/jobworker/worker.go
@@ -52,6 +52,8 @@
 	Capacity resource.Quantity
 	// ClockRate is the rate of the worker's clock relative to real time; zero means 1.
 	ClockRate float64
+	// MaxListedEnds is the maximum number of ends in one snapshot; zero means no limit.
+	MaxListedEnds int
 	// Work returns the work of a task.
 	Work     func(task string) Work
 	Observer Observer
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -29,6 +29,8 @@
 	authorityMargin = 300 * time.Millisecond
 	leaseTerm       = 6 * time.Second
 	reportInterval  = 1500 * time.Millisecond
+	// listedEnds is the number of ends that a worker lists at a time. It is small, so that lists are cut off.
+	listedEnds = 3
 )
 
 // Processor shares of the entries.
@@ -104,7 +106,7 @@
 		a := &agentProcess{region: r, name: fmt.Sprintf("agent-%d", i), zone: zones[i%len(zones)]}
 		r.recorder.ZoneOf["worker-"+a.name] = a.zone
 		a.worker = jobworker.New(jobworker.Config{
-			ID: "worker-" + a.name, Capacity: resource.Quantity{MilliCPU: 4000}, ClockRate: rate,
+			ID: "worker-" + a.name, Capacity: resource.Quantity{MilliCPU: 4000}, ClockRate: rate, MaxListedEnds: listedEnds,
 			Work: func(task string) jobworker.Work { return r.work(task) }, Observer: r.recorder,
 		})
 		r.agents = append(r.agents, a)
