Compare the run when an end hides a missing one

Found by reading, no caller has reported it: a task can stand for good (LOST) if a restarted agent doesn't report its run and still lists the end of the run before, which was not confirmed to the worker when the agent was killed.

Cause: when a complete report is compared with the assigned runs, any listed end of the task counted as a sign of its current run, so its start was not repeated.

Change: only the end of that very run counts. The end of the current run releases the task anyway, and a repeated start is idempotent.

Evidence: TestEarlierEndHidesNoMissingRun failed before (0 starts, 1 wanted).

--- a/internal/planner/lost_test.go
+++ b/internal/planner/lost_test.go
@@ -99,3 +99,22 @@
 	}})
 	is.Equal(stateOf(p, "b"), job.StateRunning)
 }
+
+// TestEarlierEndHidesNoMissingRun guards against a task that stands for good because a restarted agent doesn't report its
+// run, and still lists the end of the run before.
+func TestEarlierEndHidesNoMissingRun(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(1)
+	addJob(p, "a", "q", job.Step{Count: 1, LongRunning: true})
+	commit(p)
+	endTask(p, "a.0.0.0", 1)
+	p.Advance(p.now + refusalPause)
+	is.Equal(totalStarts(commit(p)), 1)
+	p.HandleRunProgress(agentName(0), &wire.RunProgress{
+		WorkerID: "w-" + agentName(0), Incarnation: 1, Runs: []wire.RunRow{{Task: "a.0.0.0", Run: 2}},
+	})
+	report := testReport(0)
+	report.Ends = []wire.EndRow{{Number: 1, Task: "a.0.0.0", Run: 1, Outcome: uint8(job.OutcomeDone)}}
+	p.HandleReport(report)
+	is.Equal(totalStarts(commit(p)), 1)
+}
--- a/internal/planner/reconcile.go
+++ b/internal/planner/reconcile.go
@@ -17,7 +17,7 @@
 		}
 	}
 	for i := range report.Ends {
-		if r, ok := p.findTask(report.Ends[i].Task); ok {
+		if r, ok := p.findTask(report.Ends[i].Task); ok && r.task().Run == report.Ends[i].Run {
 			present[r] = true
 		}
 		p.handleEnd(a, a.incarnation, &report.Ends[i])
