Log long-running tasks that stand still, with the reason

The possible causes could not be told apart.

Once a second Tick now looks for long-running tasks of active jobs of which no agent has reported a run at work (progress 100) for over 3 s. Each is logged then and every 5 s, with its phase and a typed reason. For an assigned task this is what is missing on the way to work. For a waiting task it is why no worker takes it, with the number of workers that each check of a placement excludes: options.go now returns and counts the reason in place of a boolean, so the checks exist once. At most 20 tasks are logged by one check, those that were not logged for longest first.

Tests: one for each reason, the repetition, the bound and the tasks that need no run. Without the call in Tick all but the last fail ("0 lines on stalled tasks, want one"); without recordAtWork the last fails too.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -144,7 +144,7 @@
 }
 
 // Tick handles timeouts: expired leases of unreachable workers, evictions from leaving workers and orders
-// that are to be sent again.
+// that are to be sent again. It also logs long-running tasks that stand still.
 func (p *Planner) Tick() {
 	for _, a := range slices.Clone(p.workers) {
 		if !a.connected && p.now >= a.authorityEnds {
@@ -161,6 +161,7 @@
 		}
 	}
 	p.active = slices.DeleteFunc(p.active, func(e *entry) bool { return e.progress.State.Final() })
+	p.checkStalls()
 }
 
 // repeatOrders sends orders again that a worker has not answered within orderTimeout: an order can be lost with
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -56,10 +56,13 @@
 // service of the job's queue.
 func (p *Planner) allowedForService(service string, definition *job.Step, a *agent) bool {
 	_, out := p.operator.ZonesOut[a.zone]
-	return a.connected && a.ready && !a.leaving && !out &&
+	return a.available() && !out &&
 		a.service == service && a.hasLabel(definition.Label)
 }
 
+// available reports whether the agent is connected and its worker is ready for new tasks.
+func (a *agent) available() bool { return a.connected && a.ready && !a.leaving }
+
 // idleCPU estimates the unused processors of the worker, in thousandths of a core.
 func (a *agent) idleCPU() int64 {
 	used := a.reserved.MilliCPU - int64((1-servingUtilization)*float64(a.servingCPU))
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -61,6 +61,7 @@
 // the ends of several runs share a write.
 func (p *Planner) NextCommit(room int, wallMillis int64, busy bool) *Commit {
 	p.assign()
+	p.stalls.assignedAt = p.now
 	c := &Commit{}
 	count := room / recordEntries
 	chosen := p.chooseRecords(count)
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -27,6 +27,8 @@
 	list    []option
 	// allowThrottled is set if a filler may be assigned to a worker on which it is throttled or stopped at first.
 	allowThrottled bool
+	// excluded counts the workers that are not in the list, by the first check that each has failed.
+	excluded exclusions
 }
 
 // optionsFor returns those of the given workers on which the step's tasks fit. The list of workers may contain
@@ -45,41 +47,58 @@
 			continue
 		}
 		a.searchID = p.searchID
-		if !p.allowedForService(service, definition, a) || p.now < a.penaltyEnds {
+		if reason := p.excludeWorker(service, definition, a); reason != StallNone {
+			o.excluded[reason]++
 			continue
 		}
 		candidate := option{agent: a, sameStep: counts[a]}
-		if o.rate(&candidate) {
-			o.list = append(o.list, candidate)
+		if reason := o.rate(&candidate); reason != StallNone {
+			o.excluded[reason]++
+			continue
 		}
+		o.list = append(o.list, candidate)
 	}
 	p.optionBuffer = o.list
 	return o
 }
 
-// rate updates the score and the headroom of an option and reports whether a task of the step fits on the
-// worker.
-func (o *options) rate(candidate *option) bool {
+// excludeWorker returns why no task of the step may be placed on the worker now, whatever is free there, or StallNone.
+func (p *Planner) excludeWorker(service string, definition *job.Step, a *agent) StallReason {
+	switch {
+	case !a.available():
+		return StallWorkerUnavailable
+	case !p.allowedForService(service, definition, a):
+		return StallNotAllowed
+	case p.now < a.penaltyEnds:
+		return StallWorkerPaused
+	default:
+		return StallNone
+	}
+}
+
+// rate updates the score and the headroom of an option and returns why no task of the step fits on the worker, or
+// StallNone.
+func (o *options) rate(candidate *option) StallReason {
 	definition := &o.entry.spec.Steps[o.step]
 	a := candidate.agent
 	if definition.MaxPerWorker > 0 && candidate.sameStep >= definition.MaxPerWorker {
-		return false
+		return StallWorkerBound
 	}
 	if a.suspected(o.planner.now) {
-		return false
+		return StallWorkerSuspected
 	}
 	idle := float64(a.idleCPU())
 	if definition.Filler && !o.allowThrottled && idle < minFillerIdleShare*float64(definition.Need.MilliCPU) {
-		return false
+		return StallNoIdle
 	}
 	if !reservedNeed(definition).FitsIn(a.free()) {
-		return false
+		return StallNoRoom
 	}
 	if definition.Filler {
 		candidate.headroom = o.planner.headroom(definition, a)
 	}
 	candidate.score = o.planner.score(definition, a, candidate.headroom)
-	return true
+	return StallNone
 }
 
 // best returns the option with the highest score for a task, or nil if there is none.
@@ -112,7 +131,7 @@
 // if no further task fits.
 func (o *options) updateAfterPlacement(chosen *option) {
 	chosen.sameStep++
-	if o.rate(chosen) {
+	if o.rate(chosen) == StallNone {
 		return
 	}
 	last := len(o.list) - 1
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -37,6 +37,7 @@
 	timings   []StartTimings
 	pressures pressureTable
 	durations durationTable
+	stalls    stallCheck
 	// optionBuffer and candidateBuffer are reused by each pass.
 	optionBuffer    []option
 	candidateBuffer []candidate
@@ -52,7 +53,7 @@
 		timing: timing, now: now, termStart: now,
 		jobs: map[string]*entry{}, agents: map[string]*agent{},
 		runsByIncarnation: map[job.WorkerIncarnation]map[ref]struct{}{}, pendingCancels: map[string]bool{},
-		pressures: pressureTable{}, durations: durationTable{},
+		pressures: pressureTable{}, durations: durationTable{}, stalls: stallCheck{assignedAt: now},
 	}
 }
 
--- a/internal/planner/reconcile.go
+++ b/internal/planner/reconcile.go
@@ -109,6 +109,7 @@
 	r.run().reported = true
 	r.run().percent = row.ProgressPercent
 	p.confirmProbe(r)
+	p.recordAtWork(r)
 	if row.Checkpoint != "" {
 		r.task().Checkpoint = row.Checkpoint
 	}
--- /dev/null
+++ b/internal/planner/stallplacement_test.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/job"
+	"clementineflow/internal/resource"
+	"clementineflow/internal/store"
+	"clementineflow/internal/wire"
+)
+
+// TestWaitingTaskThatStandsStillIsLogged guards against a long-running task that waits without a line in the log that
+// tells why no worker takes it.
+func TestWaitingTaskThatStandsStillIsLogged(t *testing.T) {
+	filler := job.Step{Count: 1, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 1000}}
+	plain := job.Step{Count: 1, LongRunning: true}
+	large := job.Step{Count: 1, LongRunning: true, Need: resource.Quantity{MilliCPU: 5000}}
+	for _, c := range []struct {
+		reason StallReason
+		step   job.Step
+		// cause excludes workers of a planner that has two.
+		cause func(p *Planner)
+		texts []string
+	}{
+		{StallNotAllowed, job.Step{Count: 1, LongRunning: true, Label: "arm"}, func(*Planner) {}, []string{
+			"phase waiting", "run 0", "stalled_ms 4000", "tried_ms", "excluded 2 service, label or zone not allowed",
+		}},
+		{StallNotAllowed, plain, func(p *Planner) {
+			operator := p.operator
+			operator.ZonesOut = map[string]store.Revision{"north": 7, "south": 7}
+			p.SetOperatorSnapshot(operator)
+		}, []string{"excluded 2 service, label or zone not allowed"}},
+		{StallNotAllowed, plain, func(p *Planner) {
+			p.HandleDisconnect(agentName(0), p.now)
+			p.agents[agentName(1)].service = "other"
+		}, []string{"excluded 1 worker unavailable, 1 service, label or zone not allowed"}},
+		{StallWorkerUnavailable, plain, func(p *Planner) {
+			p.HandleReport(&wire.AgentReport{Agent: agentName(0)})
+			p.agents[agentName(1)].leaving = true
+		}, []string{"excluded 2 worker unavailable"}},
+		{StallWorkerPaused, plain, func(p *Planner) {
+			p.agents[agentName(0)].penaltyEnds, p.agents[agentName(1)].penaltyEnds = time.Minute, time.Minute
+		}, []string{"excluded 2 worker paused"}},
+		{StallWorkerSuspected, plain, func(p *Planner) {
+			for i := range 2 {
+				a := p.agents[agentName(i)]
+				a.failuresInRow, a.suspectEnds = suspectAfter, time.Minute
+			}
+		}, []string{"excluded 2 worker suspected"}},
+		{StallNoRoom, large, func(*Planner) {}, []string{
+			"excluded 2 no room", "need 5000m 0MB 0 accelerators", "most_free 4000m 8589MB 0 accelerators", "reserved_percent 0",
+		}},
+		{StallNoIdle, filler, func(p *Planner) {
+			p.agents[agentName(0)].fillerCPU, p.agents[agentName(1)].fillerCPU = 4000, 4000
+			keepBusy(p)
+		}, []string{"excluded 2 no idle processors"}},
+	} {
+		t.Run(c.reason.String(), func(t *testing.T) {
+			p := newTestPlanner(2)
+			c.cause(p)
+			addJob(p, "a", "q", c.step)
+			p.TakeEvents()
+			standStill(p)
+			checkReason(t, p, c.reason, c.texts...)
+		})
+	}
+}
+
+// keepBusy reserves most of the capacity of all workers, so that no job counts as starving.
+func keepBusy(p *Planner) {
+	for _, a := range p.workers {
+		a.reserved.MilliCPU = a.capacity.MilliCPU * 3 / 4
+	}
+}
+
+// standStill advances the time past stallAfter with passes that place nothing, and then checks for stalled tasks.
+func standStill(p *Planner) {
+	for range 4 {
+		p.Advance(p.now + stallCheckInterval)
+		commit(p)
+		p.Tick()
+	}
+}
+
+// TestBoundedTaskIsLogged guards against a long-running task that waits for lack of a worker without a task of its step,
+// without a line in the log.
+func TestBoundedTaskIsLogged(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(2)
+	addJob(p, "b", "q", job.Step{Count: 3, LongRunning: true, MaxPerWorker: 1})
+	is.Equal(totalStarts(commit(p)), 2)
+	for range 4 {
+		p.Advance(p.now + stallCheckInterval)
+		reportAtWork(p, "b.0.0.0", fullPercent)
+		reportAtWork(p, "b.0.0.1", fullPercent)
+		commit(p)
+		p.Tick()
+	}
+	is.Equal(p.StalledTasks(StallWorkerBound), 1)
+	lines := stallLines(p)
+	is.Equal(len(lines), 1)
+	is.True(strings.Contains(lines[0], "task b.0.0.2"))
+	is.True(strings.Contains(lines[0], "excluded 2 bound per worker"))
+}
+
+// TestFillersWithoutHeadroomAreLogged guards against long-running fillers that wait for headroom beside runs with a
+// latency target, and others of their step that wait for their turn, without lines in the log that tell them apart.
+func TestFillersWithoutHeadroomAreLogged(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(1)
+	addJob(p, "s", "q", job.Step{Count: 2, LongRunning: true, LatencyTarget: 50 * time.Millisecond, Image: "serve"})
+	is.Equal(totalStarts(commit(p)), 2)
+	for _, name := range []string{"s.0.0.0", "s.0.0.1"} {
+		r, _ := p.findTask(name)
+		r.run().load = 2
+	}
+	p.agents[agentName(0)].neighbours.stale = true
+	p.agents[agentName(0)].reserved.MilliCPU = 3000
+	addJob(p, "a", "q", job.Step{
+		Count: 2, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 500},
+	})
+	for range 4 {
+		p.Advance(p.now + stallCheckInterval)
+		reportAtWork(p, "s.0.0.0", fullPercent)
+		reportAtWork(p, "s.0.0.1", fullPercent)
+		commit(p)
+		p.Tick()
+	}
+	is.Equal(p.StalledTasks(StallNoHeadroom), 1)
+	is.Equal(p.StalledTasks(StallEarlierTask), 1)
+	lines := stallLines(p)
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "excluded 1 no headroom best_headroom -"))
+	is.True(strings.Contains(lines[1], "tried_ms 0 earlier_tasks_wait true"))
+}
+
+// TestTaskOfAStepThatIsNotReadyIsLogged guards against a long-running task that waits for an earlier step without a line
+// in the log.
+func TestTaskOfAStepThatIsNotReadyIsLogged(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(1)
+	need := resource.Quantity{MilliCPU: 1000}
+	p.AddJob(&job.Spec{ID: "a", Queue: "q", Service: "pool", Steps: []job.Step{
+		{Count: 1, Need: need}, {Count: 1, Need: need, LongRunning: true, After: []int{0}},
+	}}, nil, 0, 0)
+	standStill(p)
+	is.Equal(p.StalledTasks(StallStepNotReady), 1)
+	lines := stallLines(p)
+	is.Equal(len(lines), 1)
+	is.True(strings.Contains(lines[0], "task a.0.1.0"))
+}
+
+// TestTasksWithoutCommitsAreLogged guards against waiting long-running tasks that stand still because the coordinator
+// can't commit assignments or has no configuration, without lines in the log.
+func TestTasksWithoutCommitsAreLogged(t *testing.T) {
+	step := job.Step{Count: 1, LongRunning: true}
+	t.Run("no commit", func(t *testing.T) {
+		p := newTestPlanner(1)
+		addJob(p, "a", "q", step)
+		advanceIdle(p)
+		checkReason(t, p, StallCommitPending, "phase waiting")
+	})
+	t.Run("no configuration", func(t *testing.T) {
+		p := New(testTiming, time.Second)
+		addJob(p, "a", "q", step)
+		advanceIdle(p)
+		checkReason(t, p, StallNoConfiguration)
+	})
+	t.Run("no worker", func(t *testing.T) {
+		p := newTestPlanner(0)
+		addJob(p, "a", "q", step)
+		standStill(p)
+		checkReason(t, p, StallNoWorker)
+	})
+}
+
+// TestSuspectedTaskThatWaitsIsLogged guards against a task that is suspected of crashes and waits to start alone without
+// a line in the log.
+func TestSuspectedTaskThatWaitsIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		reason StallReason
+		count  int
+		cause  func(p *Planner, r ref)
+	}{
+		{StallJustStarted, 1, func(p *Planner, _ ref) { p.agents[agentName(0)].lastPlacementAt = p.now }},
+		{StallProbations, maxJobProbations + 1, func(p *Planner, r ref) {
+			for index := 1; index <= maxJobProbations; index++ {
+				r.entry.progress.SetCrashes(job.TaskCrashes{Step: r.step, Index: index, Blamed: 1})
+				r.entry.runs[r.step][index].probationEnds = p.now + time.Second
+			}
+		}},
+	} {
+		t.Run(c.reason.String(), func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPlanner(1)
+			addJob(p, "a", "q", job.Step{Count: maxJobProbations + 1, LongRunning: true})
+			r, ok := p.findTask(lastingTaskName)
+			is.True(ok)
+			r.entry.progress.SetCrashes(job.TaskCrashes{Step: r.step, Index: r.index, Blamed: 1})
+			p.Advance(p.now + stallAfter + 1)
+			p.stalls.assignedAt, r.run().waitingSince = p.now, p.now
+			c.cause(p, r)
+			p.Tick()
+			is.Equal(p.StalledTasks(c.reason), c.count)
+			is.True(strings.Contains(stallLines(p)[0], c.reason.String()))
+		})
+	}
+}
