Count stalled tasks by reason in the metrics

An operator could not see from the metrics that long-running tasks stand still. The gauge clementine_stalled_tasks{reason} follows the planner's latest check; it is zero on a process that does not coordinate. TestStalledTasksAreMeasured failed without the check and without the reset at the end of a term.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -1,6 +1,12 @@
 package coordinator
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"clementineflow/internal/planner"
+)
 
 var (
 	// placingSeconds is the time from when a task could be placed to its start order. firstOrderSeconds is the
@@ -9,4 +15,25 @@
 	firstOrderSeconds = metrics.NewHistogram("clementine_job_first_order_seconds")
 	commitSeconds     = metrics.NewHistogram("clementine_commit_seconds")
 	commitFailures    = metrics.NewCounter("clementine_commit_failures_total")
+	// stalledTasks is the number of long-running tasks without a run at work, by reason. It is zero while this process is
+	// not the coordinator.
+	stalledTasks = newStalledTasks()
 )
+
+func newStalledTasks() map[planner.StallReason]*metrics.Gauge {
+	gauges := map[planner.StallReason]*metrics.Gauge{}
+	for _, reason := range planner.StallReasons() {
+		gauges[reason] = metrics.NewGauge(fmt.Sprintf("clementine_stalled_tasks{reason=%q}", reason), nil)
+	}
+	return gauges
+}
+
+// setStalledTasks sets the numbers of stalled tasks.
+func setStalledTasks(count func(planner.StallReason) int) {
+	for reason, gauge := range stalledTasks {
+		gauge.Set(float64(count(reason)))
+	}
+}
+
+// clearStalledTasks sets the numbers of stalled tasks to zero.
+func clearStalledTasks() { setStalledTasks(func(planner.StallReason) int { return 0 }) }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -100,6 +100,7 @@
 	defer tick.Stop()
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
+	defer clearStalledTasks()
 	for {
 		operator := t.config.View.Changed()
 		t.applyOperator()
@@ -117,6 +118,7 @@
 		case <-tick.C:
 			t.planner.Advance(t.config.Now())
 			t.planner.Tick()
+			setStalledTasks(t.planner.StalledTasks)
 		case <-expire.C:
 			t.planner.ExpireJobs(time.Now().UnixMilli())
 		}
