Name the cause of each stalled task, also behind others of its step

Each waiting task now gets the reason for which no worker takes it, with tried_ms=0 and earlier_tasks_wait if its turn has not come. "earlier task of the step" is left for a task that a worker would take.

The check of a full region (1,104 long-running tasks that wait, 530 workers) rated all options for each task.

TestFillerBehindAnEarlierOneIsLogged and the changed TestFillersWithoutHeadroomAreLogged cover both.

--- a/internal/planner/size_test.go
+++ b/internal/planner/size_test.go
@@ -255,3 +255,40 @@
 
 // countWaitingSteps returns the number of ready steps with waiting tasks.
 func (p *Planner) countWaitingSteps() int { return len(p.candidates()) }
+
+// BenchmarkStallCheck measures a check for stalled tasks of a region with 1,100 long-running and 3,000 batch tasks on 530
+// workers, with all long-running tasks at work, and with all of them waiting for room.
+func BenchmarkStallCheck(b *testing.B) {
+	const jobs, tasks = 46, 24
+	for _, stalled := range []bool{false, true} {
+		b.Run(fmt.Sprintf("stalled=%t", stalled), func(b *testing.B) {
+			s := newSimulatedRegion(530)
+			for id := range s.planner.jobs {
+				s.planner.Cancel(id)
+			}
+			s.planner.Tick()
+			for range jobs {
+				s.submit("watch", job.Step{
+					Count: tasks, LongRunning: true, Image: "serving-0", LatencyTarget: 50 * time.Millisecond,
+					Need: resource.Quantity{MilliCPU: 2 * workerMilliCPU, MemoryBytes: 6 << 30},
+				})
+			}
+			for range 3000 / fillTasks {
+				s.submit("fill", job.Step{Count: fillTasks, Filler: true, Need: resource.Quantity{MilliCPU: 1000, MemoryBytes: 3 << 30}})
+			}
+			s.commit()
+			if stalled {
+				s.planner.Advance(s.now + stallAfter + 1)
+				s.planner.stalls.assignedAt = s.planner.now
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				s.planner.stalls.nextAt = 0
+				s.planner.checkStalls()
+				s.planner.TakeEvents()
+			}
+			b.ReportMetric(float64(s.planner.StalledTasks(StallNoRoom)), "stalled-tasks")
+		})
+	}
+}
--- a/internal/planner/stallplacement.go
+++ b/internal/planner/stallplacement.go
@@ -10,6 +10,8 @@
 // stepSearch is the search for workers for the waiting tasks of one step.
 type stepSearch struct {
 	*options
+	// top holds the option with the highest headroom, if there is one.
+	top *options
 	// firstWaiting is the index of the first waiting task, which is tried before the others.
 	firstWaiting int
 }
@@ -17,8 +19,9 @@
 // searchForStep searches the workers for the step of a waiting task, as a placement does.
 func (p *Planner) searchForStep(r ref) *stepSearch {
 	tasks := r.entry.progress.Steps[r.step]
+	found := p.optionsFor(r.entry, r.step, p.workers, p.starving(r.entry))
 	return &stepSearch{
-		options:      p.optionsFor(r.entry, r.step, p.workers, p.starving(r.entry)),
+		options: found, top: found.withHighestHeadroom(),
 		firstWaiting: slices.IndexFunc(tasks, func(task job.Task) bool { return task.Phase == job.PhaseWaiting }),
 	}
 }
@@ -26,20 +29,19 @@
 // explainPlacement determines why a waiting task was placed on none of the workers.
 func (p *Planner) explainPlacement(s *stalledTask, search *stepSearch) {
 	s.earlier = search.firstWaiting < s.index
-	if s.run().waitingSince == 0 && s.earlier {
-		s.reason = StallEarlierTask
-		return
-	}
 	s.excluded = search.excluded
-	accepting := search.options
+	accepting, top := search.options, search.top
 	if p.suspected(s.ref) {
 		accepting = p.optionsForSuspected(s.ref, search.options)
+		top = accepting.withHighestHeadroom()
 		s.excluded[StallJustStarted] = int32(len(search.list) - len(accepting.list))
 	}
 	switch {
-	case !accepting.accept(s.ref):
+	case !top.accept(s.ref):
 		s.excluded[StallNoHeadroom] = int32(len(accepting.list))
-		s.headroom = accepting.highestHeadroom()
+		if len(top.list) > 0 {
+			s.headroom = top.list[0].headroom
+		}
 		s.reason = cmp.Or(s.excluded.last(), StallNoWorker)
 	case s.earlier:
 		s.reason = StallEarlierTask
@@ -48,23 +50,24 @@
 	}
 }
 
+// withHighestHeadroom returns the option with the highest headroom, or no options if there are none. It decides whether
+// a task is accepted, at a fraction of the cost of all options.
+func (o *options) withHighestHeadroom() *options {
+	highest := *o
+	highest.list = nil
+	for i := range o.list {
+		if highest.list == nil || o.list[i].headroom > highest.list[0].headroom {
+			highest.list = o.list[i : i+1]
+		}
+	}
+	return &highest
+}
+
 // accept reports whether one of the options is good enough for a task. A task that was not tried yet has not waited for
 // headroom.
 func (o *options) accept(r ref) bool {
 	if r.run().waitingSince == 0 && r.definition().Filler && !o.allowThrottled {
-		return len(o.list) > 0 && o.highestHeadroom() >= 0
+		return len(o.list) > 0 && o.list[0].headroom >= 0
 	}
 	return o.best(r) != nil
 }
-
-// highestHeadroom returns the highest headroom among the options, or zero if there are none.
-func (o *options) highestHeadroom() float64 {
-	if len(o.list) == 0 {
-		return 0
-	}
-	highest := o.list[0].headroom
-	for i := range o.list {
-		highest = max(highest, o.list[i].headroom)
-	}
-	return highest
-}
--- a/internal/planner/stallplacement_test.go
+++ b/internal/planner/stallplacement_test.go
@@ -107,35 +107,63 @@
 	is.True(strings.Contains(lines[0], "excluded 2 bound per worker"))
 }
 
-// TestFillersWithoutHeadroomAreLogged guards against long-running fillers that wait for headroom beside runs with a
-// latency target, and others of their step that wait for their turn, without lines in the log that tell them apart.
-func TestFillersWithoutHeadroomAreLogged(t *testing.T) {
-	is := is.New(t)
+// startServing returns a planner with one worker on which a run with a latency target has the given load and, so that no
+// job counts as starving, most processors are reserved.
+func startServing(t *testing.T, load float64) *Planner {
 	p := newTestPlanner(1)
-	addJob(p, "s", "q", job.Step{Count: 2, LongRunning: true, LatencyTarget: 50 * time.Millisecond, Image: "serve"})
-	is.Equal(totalStarts(commit(p)), 2)
-	for _, name := range []string{"s.0.0.0", "s.0.0.1"} {
-		r, _ := p.findTask(name)
-		r.run().load = 2
-	}
-	p.agents[agentName(0)].neighbours.stale = true
-	p.agents[agentName(0)].reserved.MilliCPU = 3000
-	addJob(p, "a", "q", job.Step{
-		Count: 2, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 500},
-	})
+	addJob(p, "s", "q", job.Step{Count: 1, LongRunning: true, LatencyTarget: 50 * time.Millisecond, Image: "serve"})
+	is.New(t).Equal(totalStarts(commit(p)), 1)
+	r, _ := p.findTask("s.0.0.0")
+	r.run().load = load
+	a := p.agents[agentName(0)]
+	a.neighbours.stale, a.reserved.MilliCPU = true, 3000
+	return p
+}
+
+// standStillBeside is like standStill, with the run with a latency target at work.
+func standStillBeside(p *Planner) {
 	for range 4 {
 		p.Advance(p.now + stallCheckInterval)
 		reportAtWork(p, "s.0.0.0", fullPercent)
-		reportAtWork(p, "s.0.0.1", fullPercent)
 		commit(p)
 		p.Tick()
 	}
+}
+
+// TestFillersWithoutHeadroomAreLogged guards against long-running fillers that wait for headroom beside runs with a
+// latency target without lines in the log, and against lines that don't tell which of them were tried.
+func TestFillersWithoutHeadroomAreLogged(t *testing.T) {
+	is := is.New(t)
+	p := startServing(t, 2)
+	addJob(p, "a", "q", job.Step{
+		Count: 2, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 500},
+	})
+	standStillBeside(p)
+	is.Equal(p.StalledTasks(StallNoHeadroom), 2)
+	lines := stallLines(p)
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "tried_ms 3000 excluded 1 no headroom best_headroom -"))
+	is.True(strings.Contains(lines[1], "tried_ms 0 earlier_tasks_wait true excluded 1 no headroom best_headroom -"))
+}
+
+// TestFillerBehindAnEarlierOneIsLogged guards against a long-running filler that a worker takes and that stands still
+// behind an earlier one of its step, which has not waited as long for headroom, without a line in the log.
+func TestFillerBehindAnEarlierOneIsLogged(t *testing.T) {
+	is := is.New(t)
+	p := startServing(t, 1)
+	p.Advance(time.Minute)
+	addJob(p, "a", "q", job.Step{
+		Count: 2, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 500},
+	})
+	r, _ := p.findTask("a.0.0.1")
+	r.run().waitingSince = time.Second
+	standStillBeside(p)
 	is.Equal(p.StalledTasks(StallNoHeadroom), 1)
 	is.Equal(p.StalledTasks(StallEarlierTask), 1)
 	lines := stallLines(p)
 	is.Equal(len(lines), 2)
-	is.True(strings.Contains(lines[0], "excluded 1 no headroom best_headroom -"))
-	is.True(strings.Contains(lines[1], "tried_ms 0 earlier_tasks_wait true"))
+	is.True(strings.Contains(lines[1], "task a.0.0.1"))
+	is.True(strings.Contains(lines[1], "reason earlier task of the step"))
 }
 
 // TestTaskOfAStepThatIsNotReadyIsLogged guards against a long-running task that waits for an earlier step without a line
