--- a/cmd/clementinectl/history_test.go
+++ b/cmd/clementinectl/history_test.go
@@ -47,6 +47,29 @@
 	is.True(strings.Contains(messages, "ffffffffffffffff"))
 }
 
+// TestHistoryShowsAStalledTask guards against a history with a gap that nothing explains while a long-running task stands
+// still. The lines are those of a played day.
+func TestHistoryShowsAStalledTask(t *testing.T) {
+	is := is.New(t)
+	code, output, _ := execute(t, "127.0.0.1:1", "history 62e643450e1d837e.0.0.22 testdata/stalled.log")
+	is.Equal(code, exitOK)
+	var stalled []string
+	for line := range strings.Lines(output) {
+		if strings.Contains(line, "task stalled") {
+			stalled = append(stalled, line)
+		}
+	}
+	is.Equal(len(stalled), 6)
+	for _, text := range []string{
+		"+3.612 s", "front-burnaby-2", "phase=waiting", "stalled_ms=3585", `reason="no room"`, "tried_ms=0",
+		"earlier_tasks_wait=true", `excluded="10 worker unavailable, 59 no room"`, "reserved_percent=99",
+	} {
+		is.True(strings.Contains(stalled[0], text))
+	}
+	is.True(strings.Contains(output, "stalled task is at work again"))
+	is.True(!strings.Contains(output, "62e643450e1d837e.0.0.6"))
+}
+
 // TestLosses guards against a table from logs that lack its inputs, and against lines of several processes that are
 // not brought in order.
 func TestLosses(t *testing.T) {
