--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -65,14 +65,15 @@
 // excludeWorker returns why no task of the step may be placed on the worker now, whatever is free there, or StallNone.
 func (p *Planner) excludeWorker(service string, definition *job.Step, a *agent) StallReason {
 	switch {
+	case p.allowedForService(service, definition, a):
+		if p.now < a.penaltyEnds {
+			return StallWorkerPaused
+		}
+		return StallNone
 	case !a.available():
 		return StallWorkerUnavailable
-	case !p.allowedForService(service, definition, a):
-		return StallNotAllowed
-	case p.now < a.penaltyEnds:
-		return StallWorkerPaused
 	default:
-		return StallNone
+		return StallNotAllowed
 	}
 }
 
--- a/internal/planner/stalllog.go
+++ b/internal/planner/stalllog.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 	"time"
 
 	"clementineflow/internal/job"
-	"clementineflow/internal/resource"
 )
 
 // logStalled logs the stalled tasks whose turn it is, those that were not logged for longest first.
@@ -86,26 +84,3 @@
 	}
 	return fields
 }
-
-// roomFields returns what one task of the step reserves, the largest free amount of each resource on any allowed worker,
-// and the reserved share of the service.
-func (p *Planner) roomFields(r ref) []any {
-	need, service := reservedNeed(r.definition()), p.service(r.entry)
-	var free resource.Quantity
-	for _, a := range p.workers {
-		if p.allowedForService(service, r.definition(), a) {
-			free.MilliCPU = max(free.MilliCPU, a.free().MilliCPU)
-			free.MemoryBytes = max(free.MemoryBytes, a.free().MemoryBytes)
-			free.Accelerators = max(free.Accelerators, a.free().Accelerators)
-		}
-	}
-	return []any{
-		"need", quantityText(need), "most_free", quantityText(free),
-		"reserved_percent", int(fullPercent * p.reservedShare(service)),
-	}
-}
-
-// quantityText returns an amount of resources for the log.
-func quantityText(q resource.Quantity) string {
-	return fmt.Sprintf("%dm %dMB %d accelerators", q.MilliCPU, q.MemoryBytes/1e6, q.Accelerators)
-}
--- a/internal/planner/stallplacement_test.go
+++ b/internal/planner/stallplacement_test.go
@@ -86,6 +86,19 @@
 	}
 }
 
+// TestRoomOfLowerPriorityIsLogged guards against a long-running task that waits for room while tasks of lower priority
+// hold it, without a line in the log that tells so.
+func TestRoomOfLowerPriorityIsLogged(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner(2)
+	addJob(p, "low", "q", job.Step{Count: 3})
+	addJob(p, "equal", "urgent", job.Step{Count: 3})
+	is.Equal(totalStarts(commit(p)), 6)
+	addJob(p, "a", "urgent", job.Step{Count: 1, LongRunning: true, Need: resource.Quantity{MilliCPU: 3000}})
+	standStill(p)
+	checkReason(t, p, StallNoRoom, "reserved_percent 75", "lower_priority_percent 37")
+}
+
 // TestBoundedTaskIsLogged guards against a long-running task that waits for lack of a worker without a task of its step,
 // without a line in the log.
 func TestBoundedTaskIsLogged(t *testing.T) {
