--- a/cmd/clementinectl/history_test.go
+++ b/cmd/clementinectl/history_test.go
@@ -51,7 +51,7 @@
 // still. The lines are those of a played day.
 func TestHistoryShowsAStalledTask(t *testing.T) {
 	is := is.New(t)
-	code, output, _ := execute(t, "127.0.0.1:1", "history 62e643450e1d837e.0.0.22 testdata/stalled.log")
+	code, output, _ := execute(t, "127.0.0.1:1", "history 7871bb9b53c73b93.0.0.17 testdata/stalled.log")
 	is.Equal(code, exitOK)
 	var stalled []string
 	for line := range strings.Lines(output) {
@@ -59,15 +59,15 @@
 			stalled = append(stalled, line)
 		}
 	}
-	is.Equal(len(stalled), 6)
+	is.Equal(len(stalled), 3)
 	for _, text := range []string{
-		"+3.612 s", "front-burnaby-2", "phase=waiting", "stalled_ms=3585", `reason="no room"`, "tried_ms=0",
-		"earlier_tasks_wait=true", `excluded="10 worker unavailable, 59 no room"`, "reserved_percent=99",
+		"+3.814 s", "front-burnaby-2", "phase=waiting", "stalled_ms=3786", `reason="no room"`, "tried_ms=0",
+		"earlier_tasks_wait=true", `excluded="10 worker unavailable, 12 bound per worker, 47 no room"`, "batch_percent=8",
 	} {
 		is.True(strings.Contains(stalled[0], text))
 	}
 	is.True(strings.Contains(output, "stalled task is at work again"))
-	is.True(!strings.Contains(output, "62e643450e1d837e.0.0.6"))
+	is.True(!strings.Contains(output, "56221865686d567e"))
 }
 
 // TestLosses guards against a table from logs that lack its inputs, and against lines of several processes that are
--- a/internal/planner/stallplacement_test.go
+++ b/internal/planner/stallplacement_test.go
@@ -86,17 +86,19 @@
 	}
 }
 
-// TestRoomOfLowerPriorityIsLogged guards against a long-running task that waits for room while tasks of lower priority
-// hold it, without a line in the log that tells so.
-func TestRoomOfLowerPriorityIsLogged(t *testing.T) {
+// TestHoldersOfTheRoomAreLogged guards against a long-running task that waits for room without a line in the log that
+// tells whether less urgent tasks, or tasks that end, hold it.
+func TestHoldersOfTheRoomAreLogged(t *testing.T) {
 	is := is.New(t)
 	p := newTestPlanner(2)
 	addJob(p, "low", "q", job.Step{Count: 3})
-	addJob(p, "equal", "urgent", job.Step{Count: 3})
+	addJob(p, "equal", "urgent", job.Step{Count: 2})
+	addJob(p, "lasting", "urgent", job.Step{Count: 1, LongRunning: true})
 	is.Equal(totalStarts(commit(p)), 6)
+	reportAtWork(p, "lasting.0.0.0", fullPercent)
 	addJob(p, "a", "urgent", job.Step{Count: 1, LongRunning: true, Need: resource.Quantity{MilliCPU: 3000}})
-	standStill(p)
-	checkReason(t, p, StallNoRoom, "reserved_percent 75", "lower_priority_percent 37")
+	standStillBeside(p, "lasting.0.0.0")
+	checkReason(t, p, StallNoRoom, "reserved_percent 75", "batch_percent 62", "lower_priority_percent 37")
 }
 
 // TestBoundedTaskIsLogged guards against a long-running task that waits for lack of a worker without a task of its step,
@@ -133,11 +135,11 @@
 	return p
 }
 
-// standStillBeside is like standStill, with the run with a latency target at work.
-func standStillBeside(p *Planner) {
+// standStillBeside is like standStill, with the run of another task at work.
+func standStillBeside(p *Planner, working string) {
 	for range 4 {
 		p.Advance(p.now + stallCheckInterval)
-		reportAtWork(p, "s.0.0.0", fullPercent)
+		reportAtWork(p, working, fullPercent)
 		commit(p)
 		p.Tick()
 	}
@@ -151,7 +153,7 @@
 	addJob(p, "a", "q", job.Step{
 		Count: 2, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 500},
 	})
-	standStillBeside(p)
+	standStillBeside(p, "s.0.0.0")
 	is.Equal(p.StalledTasks(StallNoHeadroom), 2)
 	lines := stallLines(p)
 	is.Equal(len(lines), 2)
@@ -170,7 +172,7 @@
 	})
 	r, _ := p.findTask("a.0.0.1")
 	r.run().waitingSince = time.Second
-	standStillBeside(p)
+	standStillBeside(p, "s.0.0.0")
 	is.Equal(p.StalledTasks(StallNoHeadroom), 1)
 	is.Equal(p.StalledTasks(StallEarlierTask), 1)
 	lines := stallLines(p)
--- a/internal/planner/stallroom.go
+++ b/internal/planner/stallroom.go
@@ -7,7 +7,8 @@
 )
 
 // roomFields returns what one task of the step reserves, the largest free amount of each resource on any allowed worker,
-// and how much of the service is reserved, in all and by tasks of lower priority.
+// and how much of the service is reserved: in all, by tasks that
+// are not long-running, and by tasks of lower priority.
 func (p *Planner) roomFields(r ref) []any {
 	need, service := reservedNeed(r.definition()), p.service(r.entry)
 	var free resource.Quantity
@@ -22,28 +23,43 @@
 			free.Accelerators = max(free.Accelerators, a.free().Accelerators)
 		}
 	}
+	holders := p.roomHolders(r.entry)
 	return []any{
 		"need", quantityText(need), "most_free", quantityText(free),
 		"reserved_percent", int(fullPercent * p.reservedShare(service)),
-		"lower_priority_percent", fullPercent * p.reservedBelow(r.entry) / max(capacity, 1),
+		"batch_percent", fullPercent * holders.ending / max(capacity, 1),
+		"lower_priority_percent", fullPercent * holders.lowerPriority / max(capacity, 1),
 	}
 }
 
-// reservedBelow returns the processors that tasks of queues with a lower priority reserve on workers of the job's
-// service, in thousandths of a core.
-func (p *Planner) reservedBelow(e *entry) int64 {
-	service, priority, reserved := p.service(e), p.priority(e), int64(0)
+// roomHolders are shares of what the tasks of a service reserve, in thousandths of a core.
+type roomHolders struct {
+	// ending is reserved by tasks that are not long-running, so that it becomes free.
+	ending int64
+	// lowerPriority is reserved by tasks of queues with a lower priority than that of the job that needs room.
+	lowerPriority int64
+}
+
+// roomHolders returns who holds the processors of the job's service.
+func (p *Planner) roomHolders(e *entry) roomHolders {
+	service, priority := p.service(e), p.priority(e)
+	var holders roomHolders
 	for _, other := range p.active {
-		if other.assigned == 0 || p.priority(other) <= priority || p.service(other) != service {
+		if other.assigned == 0 || p.service(other) != service {
 			continue
 		}
 		for step := range other.steps {
 			definition, state := &other.spec.Steps[step], &other.steps[step]
-			assigned := definition.Count - state.waiting - state.done
-			reserved += int64(assigned) * reservedNeed(definition).MilliCPU
+			reserved := int64(definition.Count-state.waiting-state.done) * reservedNeed(definition).MilliCPU
+			if !definition.LongRunning {
+				holders.ending += reserved
+			}
+			if p.priority(other) > priority {
+				holders.lowerPriority += reserved
+			}
 		}
 	}
-	return reserved
+	return holders
 }
 
 // quantityText returns an amount of resources for the log.
