--- a/internal/planner/stallplacement_test.go
+++ b/internal/planner/stallplacement_test.go
@@ -77,13 +77,12 @@
 	}
 }
 
-// standStill advances the time past stallAfter with passes that place nothing, and then checks for stalled tasks.
+// standStill advances the time past stallAfter, then tries the waiting tasks for the first time and checks for stalled
+// ones. After a longer wait some tasks accept more workers.
 func standStill(p *Planner) {
-	for range 4 {
-		p.Advance(p.now + stallCheckInterval)
-		commit(p)
-		p.Tick()
-	}
+	p.Advance(p.now + stallAfter + stallCheckInterval)
+	commit(p)
+	p.Tick()
 }
 
 // TestHoldersOfTheRoomAreLogged guards against a long-running task that waits for room without a line in the log that
@@ -119,7 +118,7 @@
 	lines := stallLines(p)
 	is.Equal(len(lines), 1)
 	is.True(strings.Contains(lines[0], "task b.0.0.2"))
-	is.True(strings.Contains(lines[0], "excluded 2 bound per worker"))
+	is.True(strings.Contains(lines[0], "tried_ms 4000 excluded 2 bound per worker"))
 }
 
 // startServing returns a planner with one worker on which a run with a latency target has the given load and, so that no
@@ -137,12 +136,10 @@
 
 // standStillBeside is like standStill, with the run of another task at work.
 func standStillBeside(p *Planner, working string) {
-	for range 4 {
-		p.Advance(p.now + stallCheckInterval)
-		reportAtWork(p, working, fullPercent)
-		commit(p)
-		p.Tick()
-	}
+	p.Advance(p.now + stallAfter + stallCheckInterval)
+	reportAtWork(p, working, fullPercent)
+	commit(p)
+	p.Tick()
 }
 
 // TestFillersWithoutHeadroomAreLogged guards against long-running fillers that wait for headroom beside runs with a
@@ -157,26 +154,25 @@
 	is.Equal(p.StalledTasks(StallNoHeadroom), 2)
 	lines := stallLines(p)
 	is.Equal(len(lines), 2)
-	is.True(strings.Contains(lines[0], "tried_ms 3000 excluded 1 no headroom best_headroom -"))
+	is.True(strings.Contains(lines[0], "tried_ms 0 excluded 1 no headroom best_headroom -"))
 	is.True(strings.Contains(lines[1], "tried_ms 0 earlier_tasks_wait true excluded 1 no headroom best_headroom -"))
 }
 
-// TestFillerBehindAnEarlierOneIsLogged guards against a long-running filler that a worker takes and that stands still
-// behind an earlier one of its step, which has not waited as long for headroom, without a line in the log.
-func TestFillerBehindAnEarlierOneIsLogged(t *testing.T) {
+// TestAcceptedTasksAreLogged guards against long-running tasks that a worker takes and that stand still until the next
+// pass, or behind an earlier one of their step, without lines in the log.
+func TestAcceptedTasksAreLogged(t *testing.T) {
 	is := is.New(t)
-	p := startServing(t, 1)
-	p.Advance(time.Minute)
-	addJob(p, "a", "q", job.Step{
-		Count: 2, LongRunning: true, Filler: true, Image: "fill", Need: resource.Quantity{MilliCPU: 500},
-	})
-	r, _ := p.findTask("a.0.0.1")
-	r.run().waitingSince = time.Second
-	standStillBeside(p, "s.0.0.0")
-	is.Equal(p.StalledTasks(StallNoHeadroom), 1)
+	p := newTestPlanner(1)
+	addJob(p, "a", "q", job.Step{Count: 2, LongRunning: true})
+	p.Advance(p.now + stallAfter + 1)
+	p.stalls.assignedAt = p.now
+	p.Tick()
+	is.Equal(p.StalledTasks(StallNotPlaced), 1)
 	is.Equal(p.StalledTasks(StallEarlierTask), 1)
 	lines := stallLines(p)
 	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "task a.0.0.0"))
+	is.True(strings.Contains(lines[0], "reason not placed yet"))
 	is.True(strings.Contains(lines[1], "task a.0.0.1"))
 	is.True(strings.Contains(lines[1], "reason earlier task of the step"))
 }
