Name the state of long-running tasks as the rest of the planner does

The files on stalled tasks said lasting where the planner says long-running. A check whether a task was tried before is gone: the search sets the start of the wait of all waiting tasks of a long-running step. Tests of internal/planner pass; no behaviour changes.

--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -37,8 +37,8 @@
 	inFlight bool
 	// effects are applied after the next commit of the job.
 	effects []effect
-	// lasting holds the state of the tasks of long-running steps. It is nil if the job has none.
-	lasting [][]lastingTask
+	// longRunning holds the state of the tasks of long-running steps. It is nil if the job has none.
+	longRunning [][]longRunningTask
 }
 
 // stepState counts the waiting and done tasks of one step.
@@ -91,7 +91,7 @@
 			e.count(step, progress.Steps[step][index].Phase, 1)
 		}
 	}
-	e.lasting = newLasting(spec, now)
+	e.longRunning = newLongRunningTasks(spec, now)
 	return e
 }
 
--- a/internal/planner/lasting.go
+++ b/internal/planner/longrunning.go
@@ -6,8 +6,8 @@
 	"clementineflow/internal/job"
 )
 
-// lastingTask is the state of one long-running task, across its runs.
-type lastingTask struct {
+// longRunningTask is the state of one long-running task, across its runs.
+type longRunningTask struct {
 	// atWorkAt is when an agent last reported a run of the task at work, or when the job was added to the planner.
 	atWorkAt time.Duration
 	// reportedAt is when an agent last reported a run of the task.
@@ -17,32 +17,32 @@
 }
 
 // newLasting returns the states of a job's long-running tasks by step and index, or nil if it has none.
-func newLasting(spec *job.Spec, now time.Duration) [][]lastingTask {
-	var lasting [][]lastingTask
+func newLongRunningTasks(spec *job.Spec, now time.Duration) [][]longRunningTask {
+	var tasks [][]longRunningTask
 	for step := range spec.Steps {
 		if !spec.Steps[step].LongRunning {
 			continue
 		}
-		if lasting == nil {
-			lasting = make([][]lastingTask, len(spec.Steps))
+		if tasks == nil {
+			tasks = make([][]longRunningTask, len(spec.Steps))
 		}
-		lasting[step] = make([]lastingTask, spec.Steps[step].Count)
-		for index := range lasting[step] {
-			lasting[step][index].atWorkAt = now
+		tasks[step] = make([]longRunningTask, spec.Steps[step].Count)
+		for index := range tasks[step] {
+			tasks[step][index].atWorkAt = now
 		}
 	}
-	return lasting
+	return tasks
 }
 
-// lasting returns the state of a long-running task.
-func (r ref) lasting() *lastingTask { return &r.entry.lasting[r.step][r.index] }
+// longRunning returns the state of a long-running task.
+func (r ref) longRunning() *longRunningTask { return &r.entry.longRunning[r.step][r.index] }
 
 // recordAtWork records a report on the current run of a task if the task is long-running.
 func (p *Planner) recordAtWork(r ref) {
 	if !r.definition().LongRunning {
 		return
 	}
-	state := r.lasting()
+	state := r.longRunning()
 	state.reportedAt = p.now
 	if r.run().percent < fullPercent {
 		return
--- a/internal/planner/stalled.go
+++ b/internal/planner/stalled.go
@@ -69,9 +69,9 @@
 func (p *Planner) findStalled() {
 	found := p.stalls.found[:0]
 	for _, e := range p.active {
-		for step := range e.lasting {
-			for index := range e.lasting[step] {
-				if p.now-e.lasting[step][index].atWorkAt > stallAfter {
+		for step := range e.longRunning {
+			for index := range e.longRunning[step] {
+				if p.now-e.longRunning[step][index].atWorkAt > stallAfter {
 					found = append(found, stalledTask{ref: ref{e, step, index}})
 				}
 			}
@@ -113,7 +113,7 @@
 		return StallStopping
 	case !current.reported:
 		return StallStartNotConfirmed
-	case p.now-r.lasting().reportedAt > stallAfter:
+	case p.now-r.longRunning().reportedAt > stallAfter:
 		return StallNotReported
 	default:
 		return StallNotAtWork
--- a/internal/planner/stalled_test.go
+++ b/internal/planner/stalled_test.go
@@ -39,15 +39,15 @@
 	p.Tick()
 }
 
-// lastingTaskName is the long-running task of most tests.
-const lastingTaskName = "a.0.0.0"
+// longRunningTaskName is the long-running task of most tests.
+const longRunningTaskName = "a.0.0.0"
 
 // startLasting returns a planner with one worker on which a long-running task is at work.
 func startLasting(t *testing.T) *Planner {
 	p := newTestPlanner(1)
 	addJob(p, "a", "q", job.Step{Count: 1, LongRunning: true})
 	is.New(t).Equal(totalStarts(commit(p)), 1)
-	reportAtWork(p, lastingTaskName, fullPercent)
+	reportAtWork(p, longRunningTaskName, fullPercent)
 	p.TakeEvents()
 	return p
 }
@@ -59,7 +59,7 @@
 	if len(lines) != 1 {
 		t.Fatalf("%d lines on stalled tasks, want one: %q", len(lines), lines)
 	}
-	for _, text := range append(texts, "task "+lastingTaskName, "reason "+reason.String()) {
+	for _, text := range append(texts, "task "+longRunningTaskName, "reason "+reason.String()) {
 		if !strings.Contains(lines[0], text) {
 			t.Errorf("no %q in %s", text, lines[0])
 		}
@@ -84,14 +84,14 @@
 		}},
 		{StallWorkerLost, func(p *Planner) { p.HandleReport(&wire.AgentReport{Agent: agent, WorkerLost: true}) }, nil},
 		{StallWorkerNotReady, func(p *Planner) { p.HandleReport(&wire.AgentReport{Agent: agent}) }, nil},
-		{StallStopping, func(p *Planner) { r, _ := p.findTask(lastingTaskName); p.sendStop(r) }, []string{"ordered_ms"}},
+		{StallStopping, func(p *Planner) { r, _ := p.findTask(longRunningTaskName); p.sendStop(r) }, []string{"ordered_ms"}},
 		{StallNotReported, func(*Planner) {}, []string{"reported_ms 4000"}},
 		{StallStartNotConfirmed, func(p *Planner) {
-			endRun(p, lastingTaskName, job.OutcomeFailed)
+			endRun(p, longRunningTaskName, job.OutcomeFailed)
 			commit(p)
 		}, []string{"run 2", "ordered_ms"}},
 		{StallCommitPending, func(p *Planner) {
-			endRun(p, lastingTaskName, job.OutcomeFailed)
+			endRun(p, longRunningTaskName, job.OutcomeFailed)
 			p.NextCommit(20, 0, false)
 		}, []string{"run 2", "phase assigned"}},
 	} {
@@ -111,7 +111,7 @@
 	p := startLasting(t)
 	for range 4 {
 		p.Advance(p.now + time.Second)
-		reportAtWork(p, lastingTaskName, 40)
+		reportAtWork(p, longRunningTaskName, 40)
 		p.Tick()
 	}
 	checkReason(t, p, StallNotAtWork, "percent 40")
@@ -132,7 +132,7 @@
 	is.Equal(logged, 3) // at 4, 9 and 14 s of 18
 	is.Equal(p.StalledTasks(StallWorkerNotReady), 1)
 	p.HandleReport(testReport(0))
-	reportAtWork(p, lastingTaskName, fullPercent)
+	reportAtWork(p, longRunningTaskName, fullPercent)
 	lines := stallLines(p)
 	is.Equal(len(lines), 1)
 	is.True(strings.Contains(lines[0], "stalled task is at work again"))
@@ -179,7 +179,7 @@
 	p.Cancel("cancelled")
 	for range 8 {
 		p.Advance(p.now + stallCheckInterval)
-		reportAtWork(p, lastingTaskName, fullPercent)
+		reportAtWork(p, longRunningTaskName, fullPercent)
 		commit(p)
 		p.Tick()
 	}
--- a/internal/planner/stalllog.go
+++ b/internal/planner/stalllog.go
@@ -12,14 +12,14 @@
 // logStalled logs the stalled tasks whose turn it is, those that were not logged for longest first.
 func (p *Planner) logStalled() {
 	due := slices.DeleteFunc(p.stalls.found, func(s stalledTask) bool {
-		loggedAt := s.lasting().loggedAt
+		loggedAt := s.longRunning().loggedAt
 		return loggedAt > 0 && p.now-loggedAt < stallLogInterval
 	})
 	slices.SortStableFunc(due, func(x, y stalledTask) int {
-		return cmp.Compare(x.lasting().loggedAt, y.lasting().loggedAt)
+		return cmp.Compare(x.longRunning().loggedAt, y.longRunning().loggedAt)
 	})
 	for i := range due[:min(len(due), maxStallLines)] {
-		due[i].lasting().loggedAt = p.now
+		due[i].longRunning().loggedAt = p.now
 		p.logStalledTask(&due[i])
 	}
 	if len(due) > maxStallLines {
@@ -35,7 +35,7 @@
 	}
 	fields := []any{
 		"task", s.name(), "run", task.Run, "phase", phase,
-		"stalled_ms", (p.now - s.lasting().atWorkAt).Milliseconds(), "reason", s.reason,
+		"stalled_ms", (p.now - s.longRunning().atWorkAt).Milliseconds(), "reason", s.reason,
 	}
 	if task.Phase == job.PhaseAssigned {
 		fields = append(fields, p.assignedFields(s)...)
@@ -56,7 +56,7 @@
 	case StallStopping, StallStartNotConfirmed:
 		fields = append(fields, "ordered_ms", (p.now - s.run().orderAt).Milliseconds())
 	case StallNotReported:
-		fields = append(fields, "reported_ms", (p.now - s.lasting().reportedAt).Milliseconds())
+		fields = append(fields, "reported_ms", (p.now - s.longRunning().reportedAt).Milliseconds())
 	case StallNotAtWork:
 		fields = append(fields, "percent", s.run().percent)
 	}
--- a/internal/planner/stallplacement.go
+++ b/internal/planner/stallplacement.go
@@ -37,7 +37,7 @@
 		s.excluded[StallJustStarted] = int32(len(search.list) - len(accepting.list))
 	}
 	switch {
-	case !top.accept(s.ref):
+	case top.best(s.ref) == nil:
 		s.excluded[StallNoHeadroom] = int32(len(accepting.list))
 		if len(top.list) > 0 {
 			s.headroom = top.list[0].headroom
@@ -62,12 +62,3 @@
 	}
 	return &highest
 }
-
-// accept reports whether one of the options is good enough for a task. A task that was not tried yet has not waited for
-// headroom.
-func (o *options) accept(r ref) bool {
-	if r.run().waitingSince == 0 && r.definition().Filler && o.accepted < throttlingWorkers {
-		return len(o.list) > 0 && o.list[0].headroom >= 0
-	}
-	return o.best(r) != nil
-}
--- a/internal/planner/stallplacement_test.go
+++ b/internal/planner/stallplacement_test.go
@@ -237,7 +237,7 @@
 			is := is.New(t)
 			p := newTestPlanner(1)
 			addJob(p, "a", "q", job.Step{Count: maxJobProbations + 1, LongRunning: true})
-			r, ok := p.findTask(lastingTaskName)
+			r, ok := p.findTask(longRunningTaskName)
 			is.True(ok)
 			r.entry.progress.SetCrashes(job.TaskCrashes{Step: r.step, Index: r.index, Blamed: 1})
 			p.Advance(p.now + stallAfter + 1)
--- a/internal/planner/stallroom.go
+++ b/internal/planner/stallroom.go
@@ -7,8 +7,7 @@
 )
 
 // roomFields returns what one task of the step reserves, the largest free amount of each resource on any allowed worker,
-// and how much of the service is reserved: in all, by tasks that
-// are not long-running, and by tasks of lower priority.
+// and how much of the service is reserved: in all, by tasks that are not long-running, and by tasks of lower priority.
 func (p *Planner) roomFields(r ref) []any {
 	need, service := reservedNeed(r.definition()), p.service(r.entry)
 	var free resource.Quantity
