--- a/internal/planner/longrunning.go
+++ b/internal/planner/longrunning.go
@@ -16,7 +16,7 @@
 	loggedAt time.Duration
 }
 
-// newLasting returns the states of a job's long-running tasks by step and index, or nil if it has none.
+// newLongRunningTasks returns the states of a job's long-running tasks by step and index, or nil if it has none.
 func newLongRunningTasks(spec *job.Spec, now time.Duration) [][]longRunningTask {
 	var tasks [][]longRunningTask
 	for step := range spec.Steps {
