Begin the probation of a suspected task with its first start order only

Cause: each start order of a suspected task began its probation, also one that was sent again after 3 s without an answer, or for a restarted agent. A job may have four probations at a time, so unanswered runs held them for good, and its other blamed tasks were never placed (LOST).

Change: only the first start order of a run begins it.

Evidence: TestRepeatedStartsBeginNoProbation (70 blamed tasks, 12 workers with room) failed before: tasks are still waiting after a minute. All tests of internal/planner pass.

--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -180,13 +180,13 @@
 	if !current.ordered {
 		p.recordTimings(r)
 		current.startedAt = p.now
+		if a := p.agents[task.Worker.Agent]; a != nil && p.suspected(r) {
+			p.beginProbation(r, a)
+		}
 	}
 	current.ordered = true
 	current.orderAt = p.now
 	r.entry.hasStarted = true
-	if a := p.agents[task.Worker.Agent]; a != nil && p.suspected(r) {
-		p.beginProbation(r, a)
-	}
 	var pressures []wire.PressureRow
 	if a := p.agents[task.Worker.Agent]; definition.Filler && a != nil {
 		pressures = p.pressureRows(r, a)
