Place blamed long-running tasks together after a second

The words of the users' report fit: the tasks stand still beside room, after workers that crash within 250 ms of the tasks' starts, as those that flap do.

Cause: a task that a crash was blamed on starts alone on its worker for 350 ms, and at most four of its job do so at a time. For long-running tasks this has no bound in time: 24 tasks on one worker with room, or 70 on 12, took 6 to 8 s. And since suspected workers had become options after a second, the score of a suspected task, which prefers workers with few runs, sent it to the worker on which runs fail.

Change: after one second a long-running task is placed like any other, whether it is suspected or not, and may be throttled; after two seconds it accepts suspected workers, with the penalty.

Evidence: TestBlamedLongRunningTasksRunAgainInTime (15 of 24 and 34 of 70 tasks wait after 3 s) and TestBlamedLongRunningTasksPreferSoundWorkers failed before. All tests of internal/planner pass.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -23,7 +23,7 @@
 	p.changes.expire(p.now)
 	candidates := p.candidates()
 	slices.SortStableFunc(candidates, compareCandidates)
-	blocked := blockedShapes{}
+	var blocked [toleranceCount]blockedShapes
 	for _, c := range candidates {
 		p.assignStep(c, &blocked)
 	}
@@ -67,17 +67,18 @@
 }
 
 // assignStep assigns as many waiting tasks of the step as fit. A shape that fits on no worker is not tried
-// again in the same pass.
-func (p *Planner) assignStep(c candidate, blocked *blockedShapes) {
+// again in the same pass with the same tolerance.
+func (p *Planner) assignStep(c candidate, blockedBy *[toleranceCount]blockedShapes) {
 	definition := &c.entry.spec.Steps[c.step]
 	key := newShape(p.service(c.entry), definition)
 	accepted := p.acceptableWorkers(c)
-	if accepted == soundWorkers && blocked.has(key, p.firstWait(c)) {
+	starving, blocked := accepted == throttlingWorkers && !definition.LongRunning, &blockedBy[accepted]
+	if !starving && blocked.has(key, p.firstWait(c)) {
 		return
 	}
 	state := &c.entry.steps[c.step]
 	workers, all := p.changes.since(state.nextChange)
-	if all || accepted != soundWorkers {
+	if all || starving {
 		workers, all = p.workers, true
 	}
 	state.nextChange = p.changes.next()
@@ -90,7 +91,7 @@
 		if r.run().waitingSince == 0 {
 			r.run().waitingSince = p.now
 		}
-		if p.suspected(r) {
+		if p.suspected(r) && !(definition.LongRunning && accepted > soundWorkers) {
 			p.assignSuspected(r, options)
 			continue
 		}
@@ -102,7 +103,7 @@
 			return
 		}
 		p.placeTask(r, best.agent)
-		if accepted == throttlingWorkers {
+		if starving {
 			// One throttled run is enough; the other tasks wait for capacity.
 			state.nextChange = 0
 			return
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -85,7 +85,7 @@
 		return StallWorkerBound
 	}
 	suspected := a.suspected(o.planner.now)
-	if suspected && o.accepted < anyWorkers {
+	if suspected && o.accepted < suspectedWorkers {
 		return StallWorkerSuspected
 	}
 	idle := float64(a.idleCPU())
--- a/internal/planner/tolerance.go
+++ b/internal/planner/tolerance.go
@@ -14,25 +14,36 @@
 	soundWorkers workerTolerance = iota
 	// throttlingWorkers may throttle or stop a filler at first.
 	throttlingWorkers
-	// anyWorkers may also be suspected.
-	anyWorkers
+	// suspectedWorkers may also pause after failed runs.
+	suspectedWorkers
+
+	toleranceCount
 )
 
-// longRunningPatience is how long a long-running task waits for a sound worker. It has to run again within 6 s after its
-// last run, and it can take most of that to learn that a worker is lost.
-const longRunningPatience = time.Second
+// A long-running task has to run again within 6 s after its last run, and it can take most of that to learn that a worker
+// is lost.
+const (
+	// longRunningPatience is how long a long-running task waits for a worker that won't throttle it, or on which it can
+	// start alone if it is suspected.
+	longRunningPatience = time.Second
+	// soundnessPatience is how long it waits for a worker that is not suspected. It may fail any number of times.
+	soundnessPatience = 2 * time.Second
+)
 
-// acceptableWorkers returns which workers the step accepts. A long-running task may fail any number of times, so it
-// accepts suspected workers rather than standing still.
+// acceptableWorkers returns which workers the step accepts.
 func (p *Planner) acceptableWorkers(c candidate) workerTolerance {
-	switch {
-	case c.entry.spec.Steps[c.step].LongRunning && p.longestWait(c) >= longRunningPatience:
-		return anyWorkers
-	case p.starving(c.entry):
+	if c.entry.spec.Steps[c.step].LongRunning {
+		switch waited := p.longestWait(c); {
+		case waited >= soundnessPatience:
+			return suspectedWorkers
+		case waited >= longRunningPatience:
+			return throttlingWorkers
+		}
+	}
+	if p.starving(c.entry) {
 		return throttlingWorkers
-	default:
-		return soundWorkers
 	}
+	return soundWorkers
 }
 
 // longestWait returns the longest wait of the step's waiting tasks. Those that the planner has not tried to assign before
