Report changed labels and a changed zone of a worker

Cause: the agent reported a later status of the same incarnation only if its leaving, capacity or service had changed. A first status without labels is valid, and the labels that followed were told with the next link only.

Change: labels and zone count as well.

Evidence: TestChangedLabelsAreReported failed before (0 reports in 5 s, 1 wanted); internal/runner passes.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"slices"
+
 	"clementineflow/internal/wire"
 )
 
@@ -21,7 +23,8 @@
 	default:
 		a.beginIncarnationLocked(d)
 	}
-	changed := a.worker.Leaving != d.Leaving || a.worker.Capacity != d.Capacity || a.worker.Service != d.Service
+	changed := a.worker.Leaving != d.Leaving || a.worker.Capacity != d.Capacity || a.worker.Service != d.Service ||
+		a.worker.Zone != d.Zone || !slices.Equal(a.worker.Labels, d.Labels)
 	if d.Leaving && !a.worker.Leaving {
 		a.config.Logger.Info("worker is leaving", "worker", d.ID, "remaining_ms", d.Remaining.Milliseconds())
 	}
