Call no stopped run absent while rows of its worker can't be read

Cause: after an answered stop one poll without the run was enough, also if rows of that answer could not be read. A worker takes a moment to end a stopped run, and its row may be the unreadable one.

Change: for 2 s after the stop, such an answer proves nothing. A worker ends a stopped run much sooner, so the task doesn't stand for good if a row stays unreadable. A start that was only refused was answered, so the run is not there.

--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -113,7 +113,7 @@
 	if *unanswered && !a.isIncarnationVerified() {
 		// The poll in progress may be waiting for an end. A separate poll that does not wait verifies the
 		// incarnation sooner, so the start can be repeated at once.
-		if present, ok := a.pollForRun(ctx, local); ok && present {
+		if present, ok := a.pollForRun(ctx, local, false); ok && present {
 			a.admitFiller(ctx, local)
 			return ""
 		}
@@ -217,8 +217,11 @@
 	if unanswered && !a.stopUntilAnswered(ctx, local.task, local.run) {
 		return
 	}
+	stopped := a.config.Now()
 	for ctx.Err() == nil {
-		present, ok := a.pollForRun(ctx, local)
+		// A run that is being stopped may be in a row that can't be read.
+		ending := unanswered && a.config.Now()-stopped < maxStopTime
+		present, ok := a.pollForRun(ctx, local, ending)
 		if ok && !present {
 			break
 		}
@@ -242,8 +245,9 @@
 
 // pollForRun polls the worker without waiting and reports whether the run is on it or has a listed end. A
 // run that the agent no longer tracks is reported as not present. ok is false if the poll failed, or if the end of the
-// run may be among those that the worker has not listed yet.
-func (a *Agent) pollForRun(ctx context.Context, local *localRun) (present, ok bool) {
+// run may be among those that the worker has not listed yet. If ending is set, it is also false if the run may be in a
+// row that could not be read.
+func (a *Agent) pollForRun(ctx context.Context, local *localRun, ending bool) (present, ok bool) {
 	a.mu.Lock()
 	request := PollRequest{Target: a.targetLocked(), ConfirmedUpTo: a.confirmedLocked()}
 	a.pollsBegun++
@@ -267,5 +271,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	present = a.ends.contains(local.task, local.run)
-	return present, present || !snapshot.EndsTruncated
+	unlisted := snapshot.EndsTruncated || ending && snapshot.RowsSkipped
+	return present, present || !unlisted
 }
--- a/internal/runner/timing.go
+++ b/internal/runner/timing.go
@@ -40,6 +40,8 @@
 	progressInterval = time.Second
 	// maxRecordedPings is the maximum number of pings whose send times are kept.
 	maxRecordedPings = 32
+	// maxStopTime is longer than a worker takes to end a run after a stop call.
+	maxStopTime = 2 * time.Second
 	// shutdownTimeout bounds the last extension of the lease when the agent stops.
 	shutdownTimeout = 300 * time.Millisecond
 )
