Stop a missing run only after two answers without it

Change: two complete answers in a row must lack a run.

Evidence: TestOneAnswerWithoutListsStopsNothing fails with a single answer (3 stops, then more); the tests of missing runs pass with two.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -93,6 +93,8 @@
 	// of the latest poll whose answer listed the run.
 	confirmedAtPoll uint64
 	listedInPoll    uint64
+	// missedPolls counts the complete answers in a row that lack the run.
+	missedPolls int
 	// stopRequested is set once the coordinator has ordered a stop, stopInProgress while it is carried out.
 	stopRequested  bool
 	stopInProgress bool
--- a/internal/runner/missing.go
+++ b/internal/runner/missing.go
@@ -19,8 +19,12 @@
 	}
 }
 
-// stopMissingRunsLocked stops the runs that a complete answer to a poll neither lists as active nor as ended, although the
-// worker had confirmed their start before the poll was sent. Their ends will never be listed. The stop makes sure that no
+// minMissedPolls is the number of answers in a row that must lack a run before it is stopped. One answer without its lists
+// would otherwise end all work on the worker.
+const minMissedPolls = 2
+
+// stopMissingRunsLocked stops the runs that complete answers to polls neither list as active nor as ended, although the
+// worker had confirmed their start before the polls were sent. Their ends will never be listed. The stop makes sure that no
 // late call can start such a run; then it is reported as absent.
 func (a *Agent) stopMissingRunsLocked(snapshot *Snapshot, poll uint64) {
 	if !snapshot.complete() {
@@ -30,6 +34,10 @@
 		if !local.startConfirmed || local.confirmedAtPoll >= poll || local.listedInPoll == poll || local.stopInProgress {
 			continue
 		}
+		local.missedPolls++
+		if local.missedPolls < minMissedPolls {
+			continue
+		}
 		missingRuns.Inc()
 		a.config.Logger.Warn("run is missing on its worker", "task", local.task, "run", local.run, "worker", a.worker.ID)
 		local.stopInProgress = true
--- a/internal/runner/missing_test.go
+++ b/internal/runner/missing_test.go
@@ -203,3 +203,17 @@
 		is.Equal(ended.Ends[0].Outcome, uint8(job.OutcomeDone))
 	})
 }
+
+// TestOneAnswerWithoutListsStopsNothing guards against the loss of all work on a worker that leaves its lists out once.
+func TestOneAnswerWithoutListsStopsNothing(t *testing.T) {
+	w, polls := &changedPolls{}, 0
+	w.poll = func(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error) {
+		request.Wait = 0
+		snapshot, err := w.Worker.Poll(ctx, request)
+		if polls++; polls%3 == 0 {
+			snapshot.Runs, snapshot.Ends = nil, nil
+		}
+		return snapshot, err
+	}
+	expectDone(t, w)
+}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -167,7 +167,7 @@
 		}
 		if local.run == state.Run {
 			a.confirmStartLocked(local)
-			local.listedInPoll = poll
+			local.listedInPoll, local.missedPolls = poll, 0
 			local.row, local.measurement = state.RunRow, state.Measurement
 		}
 	}
