Register an agent again while no coordinator answers it

Cause: a fact that is told once. The coordinator deletes the record of an agent that it can't reach for two minutes; the agent wrote the record only when its process started.

Change: an agent that no coordinator has answered within its authority writes its record again each 30 s, so that agents in touch still make one store call. The deletion requires the revision of the record that the coordinator knows, so that one carried out late can't remove a fresh record. The registration is in internal/coordinator, where the tests of whole regions use it too.

--- a/cmd/clementined/platform_agent.go
+++ b/cmd/clementined/platform_agent.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/cenkalti/backoff/v5"
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/bootclock"
@@ -12,7 +10,6 @@
 	"clementineflow/internal/coordinator"
 	"clementineflow/internal/link"
 	"clementineflow/internal/runner"
-	"clementineflow/internal/store"
 	"clementineflow/platform"
 )
 
@@ -61,30 +58,11 @@
 			client.SetAddress(s.StoreAddress)
 		})
 	})
-	group.Go(func() { p.register(ctx, client, name, address) })
+	registration := coordinator.Registration{
+		Name: name, Address: address, Store: client, Reachable: agent.HasAuthority, Logger: p.logger,
+	}
+	group.Go(func() { registration.Run(ctx) })
 	agent.Run(ctx)
 	p.logger.Info("stopping", "cause", context.Cause(ctx))
 	return nil
 }
-
-// register writes the agent's address to the store, from which the coordinator reads it, and retries until
-// the write succeeds or the context ends.
-func (p *platformProcess) register(ctx context.Context, client *platform.Store, name, address string) {
-	value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: address})
-	if err != nil {
-		p.logger.Error("agent record not encoded", "error", err)
-		return
-	}
-	_, err = backoff.Retry(ctx, func() (store.Revision, error) {
-		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		defer cancel()
-		return client.Commit(call, store.Transaction{
-			Writes: []store.Write{{Key: coordinator.AgentKey(name), Value: value}},
-		})
-	}, backoff.WithBackOff(registerBackOff()), backoff.WithMaxElapsedTime(0))
-	if err != nil && !errors.Is(err, context.Canceled) {
-		p.logger.Error("agent not registered", "error", err)
-		return
-	}
-	p.logger.Info("registered", "address", address)
-}
--- a/internal/coordinator/session.go
+++ b/internal/coordinator/session.go
@@ -27,6 +27,8 @@
 	lastPing atomic.Uint64
 	// lastReply is the time of the last ping reply on the link; only the session's own goroutine uses it.
 	lastReply time.Duration
+	// recordRevision is the revision of the agent's record.
+	recordRevision atomic.Uint64
 	// reachedAt is when the agent was last known to be reachable, in nanoseconds of Config.Now.
 	reachedAt atomic.Int64
 }
@@ -53,6 +55,7 @@
 	}
 	if old != nil {
 		if old.address == record.Address {
+			old.recordRevision.Store(uint64(change.Revision))
 			return
 		}
 		old.cancel()
@@ -60,6 +63,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{term: t, name: name, address: record.Address, cancel: cancel, ended: make(chan struct{})}
 	s.reachedAt.Store(int64(t.config.Now()))
+	s.recordRevision.Store(uint64(change.Revision))
 	t.sessions[name] = s
 	t.group.Go(func() {
 		defer close(s.ended)
@@ -183,8 +187,12 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.term.config.Store.Commit(call, store.Transaction{
-		Conditions: []store.Condition{{Key: leaderKey, Revision: store.Revision(s.term.number)}},
-		Deletes:    []string{AgentKey(s.name)},
+		Conditions: []store.Condition{
+			{Key: leaderKey, Revision: store.Revision(s.term.number)},
+			// The agent may write its record again at the same time.
+			{Key: AgentKey(s.name), Revision: store.Revision(s.recordRevision.Load())},
+		},
+		Deletes: []string{AgentKey(s.name)},
 	})
 	s.term.config.Logger.Info("agent record removed", "agent", s.name, "error", err)
 }
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -104,3 +104,10 @@
 		a.config.Logger.Warn("unexpected message from the coordinator", "kind", message.Kind())
 	}
 }
+
+// HasAuthority reports whether a coordinator has answered a ping lately, so that the agent may extend its worker's lease.
+func (a *Agent) HasAuthority() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.config.Now() < a.lease.authorizedUntil
+}
--- a/test/jobs/processes_test.go
+++ b/test/jobs/processes_test.go
@@ -103,11 +103,14 @@
 		Logger: r.logger.With("agent", a.name),
 	})
 	r.network.listen(a.name, func(conn link.Conn) { agent.ServeLink(ctx, conn) })
-	value, err := coordinator.EncodeAgentRecord(&coordinator.AgentRecord{Address: a.name})
-	if err != nil {
-		r.t.Fatal(err)
+	registration := coordinator.Registration{
+		Name: a.name, Address: a.name, Store: r.memory, Reachable: agent.HasAuthority, Logger: r.logger.With("agent", a.name),
 	}
-	r.put(coordinator.AgentKey(a.name), string(value))
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		registration.Run(ctx)
+	}()
 	done := a.done
 	go func() {
 		defer close(done)
@@ -123,6 +126,7 @@
 		}()
 		agent.Run(ctx)
 		<-reported
+		<-registered
 	}()
 }
 
