Repeat an agent's report on its link

Seen by the checker of lost messages, two of 2936 cases of its whole enumeration: a task stays assigned for good to the former incarnation of a worker after the report of the new one was lost, and a job hangs after the only message that a run is absent was lost, since a progress report had counted the run as reported before (LOST).

A report, which is the agent's whole state, was sent when something changed, and what its receiver had dropped was not told again on the same link.

Change: the report is repeated every 3 s on each link, beside the pings, whatever the state of the worker. This takes the place of the special repeat for missing orders.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -108,14 +108,11 @@
 	a.sendLocked(report)
 }
 
-// resendReportLocked reports again that the orders of runs are missing, until they arrive: the coordinator drops orders
-// while its term may have ended.
-func (a *Agent) resendReportLocked() {
-	if a.config.Now()-a.reportedAt < ordersResendInterval || !a.lacksOrdersLocked() {
-		return
+// repeatReportLocked sends the report again once reportInterval has passed since the latest one.
+func (a *Agent) repeatReportLocked() {
+	if a.config.Now()-a.reportedAt >= reportInterval {
+		a.sendReportLocked()
 	}
-	a.config.Logger.Info("reporting missing start orders again", "runs", len(a.runs))
-	a.sendReportLocked()
 }
 
 // lacksOrdersLocked reports whether the agent has no order for a run on the worker, as after a restart. The order holds
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -63,12 +63,15 @@
 	}
 }
 
-// sendPings sends periodic pings, whose replies extend the authority, until the link ends.
+// sendPings sends periodic pings, whose replies extend the authority, and repeats the report until the link ends.
 func (a *Agent) sendPings(ctx context.Context, conn link.Conn) {
 	for {
 		a.mu.Lock()
 		sequence := a.pings.recordNext(a.config.Now())
 		current := a.conn == conn
+		if current {
+			a.repeatReportLocked()
+		}
 		a.mu.Unlock()
 		if !current || conn.Send(&wire.AgentPing{Sequence: sequence}) != nil {
 			return
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -86,7 +86,7 @@
 	return fillers
 }
 
-// sendProgress resends unrecorded ends and a report of missing orders that are due, and reports the progress of the runs, held-back fillers,
+// sendProgress resends unrecorded ends that are due, and reports the progress of the runs, held-back fillers,
 // pressures and loads to the coordinator.
 func (a *Agent) sendProgress() {
 	a.mu.Lock()
@@ -98,7 +98,6 @@
 	if len(a.runs) == 0 {
 		return
 	}
-	a.resendReportLocked()
 	now := a.config.Now()
 	report := &wire.RunProgress{WorkerID: a.worker.ID, Incarnation: a.worker.Incarnation}
 	for task, local := range a.runs {
--- a/internal/runner/timing.go
+++ b/internal/runner/timing.go
@@ -34,8 +34,9 @@
 	refusedTimeout = 500 * time.Millisecond
 	// endsResendInterval is how long ends may stay unrecorded before they are reported again.
 	endsResendInterval = 2 * time.Second
-	// ordersResendInterval is how long after a report the start orders of runs may be missing before the report is repeated.
-	ordersResendInterval = 2 * time.Second
+	// reportInterval is how often a report is repeated on a link: a message can be dropped although its link stays up, as
+	// orders are while the coordinator's term may have ended.
+	reportInterval = 3 * time.Second
 	// progressInterval is the minimum time between two progress reports.
 	progressInterval = time.Second
 	// maxRecordedPings is the maximum number of pings whose send times are kept.
