--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -91,7 +91,7 @@
 		if r.run().waitingSince == 0 {
 			r.run().waitingSince = p.now
 		}
-		if p.suspected(r) && !(definition.LongRunning && accepted > soundWorkers) {
+		if p.suspected(r) && (!definition.LongRunning || accepted == soundWorkers) {
 			p.assignSuspected(r, options)
 			continue
 		}
--- a/internal/planner/stallroom.go
+++ b/internal/planner/stallroom.go
@@ -26,15 +26,15 @@
 	return []any{
 		"need", quantityText(need), "most_free", quantityText(free),
 		"reserved_percent", int(fullPercent * p.reservedShare(service)),
-		"batch_percent", fullPercent * holders.ending / max(capacity, 1),
+		"batch_percent", fullPercent * holders.batch / max(capacity, 1),
 		"lower_priority_percent", fullPercent * holders.lowerPriority / max(capacity, 1),
 	}
 }
 
 // roomHolders are shares of what the tasks of a service reserve, in thousandths of a core.
 type roomHolders struct {
-	// ending is reserved by tasks that are not long-running, so that it becomes free.
-	ending int64
+	// batch is reserved by tasks that are not long-running, so that it becomes free.
+	batch int64
 	// lowerPriority is reserved by tasks of queues with a lower priority than that of the job that needs room.
 	lowerPriority int64
 }
@@ -51,7 +51,7 @@
 			definition, state := &other.spec.Steps[step], &other.steps[step]
 			reserved := int64(definition.Count-state.waiting-state.done) * reservedNeed(definition).MilliCPU
 			if !definition.LongRunning {
-				holders.ending += reserved
+				holders.batch += reserved
 			}
 			if p.priority(other) > priority {
 				holders.lowerPriority += reserved
