Give the calls of TestErrorMapping the longest timeout of the settings

Cause: the test checks how errors are mapped, but its client gives up each call after 300 ms, which is the bound of TestTimeout. A first call that takes longer fails at the same line with the same message: shown with a store that answers 350 ms late.

Change: the test's client waits 3 s, the longest that the settings allow. Every check is as before; TestTimeout keeps its 300 ms.

--- a/internal/store/grpcstore/client_test.go
+++ b/internal/store/grpcstore/client_test.go
@@ -16,7 +16,11 @@
 	"clementineflow/internal/store/grpcstore"
 )
 
-const testTimeout = 300 * time.Millisecond
+const (
+	testTimeout = 300 * time.Millisecond
+	// longestTimeout is the longest call timeout that the settings allow.
+	longestTimeout = 3 * time.Second
+)
 
 // serve starts a store server on loopback and returns the faulty store behind it, the listener's
 // address and a function that stops the server at once.
@@ -36,7 +40,12 @@
 
 func dial(t *testing.T, address string) *grpcstore.Client {
 	t.Helper()
-	client, err := grpcstore.New(grpcstore.Config{Address: address, CallTimeout: testTimeout})
+	return dialWithTimeout(t, address, testTimeout)
+}
+
+func dialWithTimeout(t *testing.T, address string, timeout time.Duration) *grpcstore.Client {
+	t.Helper()
+	client, err := grpcstore.New(grpcstore.Config{Address: address, CallTimeout: timeout})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +57,7 @@
 func TestErrorMapping(t *testing.T) {
 	is := is.New(t)
 	faulty, address, _ := serve(t)
-	client := dial(t, address)
+	client := dialWithTimeout(t, address, longestTimeout)
 	ctx := t.Context()
 
 	_, err := client.Get(ctx, "k")
