--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -18,7 +18,12 @@
 
 // begin starts a region with its workers and waits until it serves.
 func begin(record *record, entries, workers int, prepare func(g *region) error) (*region, error) {
-	g, err := newRegion(record, entries, workers, allRoutes)
+	return beginWith(record, entries, workers, nil, prepare)
+}
+
+// beginWith is like begin, with the processor shares of entries that differ from the usual one.
+func beginWith(record *record, entries, workers int, shares map[string]string, prepare func(g *region) error) (*region, error) {
+	g, err := newRegion(record, entries, workers, allRoutes, shares)
 	if err != nil {
 		return nil, err
 	}
@@ -423,3 +428,154 @@
 	}
 	return found, nil
 }
+
+// failingWorkers lets the worker of one task fail its calls 0.2 s after the start, and crash 2 s later, twice.
+func failingWorkers(record *record, trouble bool) ([]string, error) {
+	const (
+		failsAfter = 200 * time.Millisecond
+		failTime   = 2 * time.Second
+		downTime   = 4 * time.Second
+	)
+	g, err := begin(record, 3, 10, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	id := newID()
+	if !g.submit("/bake/", id, submission("ms=5000;cpu=1800", step{Count: 1, CPU: 1800, MemMb: 256, EstimateMs: 5000})) {
+		return nil, fmt.Errorf("submission not accepted")
+	}
+	handled := map[uint32]bool{}
+	for end := time.Now().Add(15 * time.Second); trouble && len(handled) < 2 && time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		for _, r := range g.snapshot() {
+			if !strings.HasPrefix(r.task, id) || !r.end.IsZero() || handled[r.run] || time.Since(r.began) < failsAfter {
+				continue
+			}
+			handled[r.run] = true
+			for _, slot := range g.slots {
+				if slot.name != r.worker {
+					continue
+				}
+				record.add("case", "%s resets its calls for %s, and crashes then", slot.name, failTime)
+				fmt.Fprintln(slot.worker.input, "reset", (failTime + time.Second).Milliseconds())
+				time.Sleep(failTime)
+				slot.worker.kill()
+				time.AfterFunc(downTime, func() { _ = g.startWorker(slot) })
+			}
+		}
+	}
+	state := g.awaitState("/bake/", id, 30*time.Second, "done", "failed", "cancelled")
+	if state != "done" {
+		return []string{fmt.Sprintf("LOST: submission %s is shown as %q; no run of it ended failed", id, state)}, nil
+	}
+	return nil, nil
+}
+
+// handOver removes a machine while an entry leads that will soon hand over to a stronger one, without any fault near.
+func handOver(record *record, trouble bool) ([]string, error) {
+	const (
+		restartTime = 500 * time.Millisecond
+		// calmTime is contactMs and the 4 s and 3 s of the rule.
+		calmTime = 10 * time.Second
+		// lastingTime is the time after the last run of a task that lasts.
+		lastingTime = 6 * time.Second
+		watchTime   = 24 * time.Second
+	)
+	g, err := beginWith(record, 2, 4, map[string]string{"front-1": "0.8", "front-2": "0.19"}, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	if !g.submit("/watch/", newID(), submission("lasts=1;cpu=800", step{Count: 8, CPU: 800, MemMb: 64, Perpetual: true})) {
+		return nil, fmt.Errorf("submission not accepted")
+	}
+	if err := g.awaitCoordinator(0); err != nil {
+		return nil, err
+	}
+	if !trouble {
+		time.Sleep(watchTime)
+		return g.standStill(time.Now(), calmTime, lastingTime), nil
+	}
+	// stopFirst stops the stronger entry as planned and starts it again.
+	stopFirst := func() error {
+		record.add("case", "front-1 gets SIGTERM")
+		g.entries[0].signal(syscall.SIGTERM)
+		<-g.entries[0].exited
+		time.Sleep(restartTime)
+		p, err := g.restart(g.entries[0])
+		if err != nil {
+			return err
+		}
+		g.entries[0] = p
+		record.add("case", "front-1 has started again")
+		return nil
+	}
+	if err := stopFirst(); err != nil {
+		return nil, err
+	}
+	if err := g.awaitCoordinator(0); err != nil {
+		return nil, err
+	}
+	handedOver := time.Now()
+	record.add("case", "front-1 leads again")
+	time.Sleep(restartTime)
+	if err := stopFirst(); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Until(handedOver.Add(5 * time.Second)))
+	slot := g.busiest()
+	record.add("case", "the machine of %s is removed for good; front-%d leads", slot.name, g.coordinator()+1)
+	slot.agent.kill()
+	slot.worker.kill()
+	removed := time.Now()
+	go func() {
+		leader := g.coordinator()
+		for time.Since(removed) < watchTime {
+			time.Sleep(10 * time.Millisecond)
+			if now := g.coordinator(); now != leader {
+				leader = now
+				record.add("case", "front-%d leads", leader+1)
+			}
+		}
+	}()
+	time.Sleep(watchTime)
+	return g.standStill(removed, calmTime, lastingTime), nil
+}
+
+// awaitCoordinator waits until the entry leads.
+func (g *region) awaitCoordinator(entry int) error {
+	for end := time.Now().Add(25 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if g.coordinator() == entry {
+			return nil
+		}
+	}
+	return fmt.Errorf("front-%d does not lead", entry+1)
+}
+
+// standStill lists the tasks that last and did not run at calm after the latest disturbance, although their last run had
+// ended longer ago than lasting.
+func (g *region) standStill(disturbed time.Time, calm, lasting time.Duration) []string {
+	var found []string
+	judged := disturbed.Add(calm)
+	last := map[string]runInterval{}
+	for _, r := range g.snapshot() {
+		if !strings.Contains(r.task, ".") || r.how == "done" {
+			continue
+		}
+		former, ok := last[r.task]
+		last[r.task] = r
+		if !ok || former.end.IsZero() {
+			continue
+		}
+		if r.began.After(judged) && r.began.Sub(former.end) > lasting {
+			found = append(found, fmt.Sprintf("LOST: %s has nothing running from %.3f to %.3f s; the last disturbance was at %.3f s",
+				r.task, g.record.seconds(former.end), g.record.seconds(r.began), g.record.seconds(disturbed)))
+		}
+	}
+	for task, r := range last {
+		if !r.end.IsZero() && time.Now().After(judged) && time.Since(r.end) > lasting {
+			found = append(found, fmt.Sprintf("LOST: %s has nothing running since %.3f s; the last disturbance was at %.3f s", task, g.record.seconds(r.end), g.record.seconds(disturbed)))
+		}
+	}
+	return found
+}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,11 +23,13 @@
 type caseFunc func(record *record, trouble bool) (broken []string, err error)
 
 var cases = map[string]caseFunc{
-	"late-leave":  lateLeave,
-	"stop-fence":  stopFence,
-	"open-cancel": openCancel,
-	"crash-loop":  crashLoop,
-	"paused-work": pausedWork,
+	"late-leave":      lateLeave,
+	"stop-fence":      stopFence,
+	"open-cancel":     openCancel,
+	"crash-loop":      crashLoop,
+	"failing-workers": failingWorkers,
+	"paused-work":     pausedWork,
+	"hand-over":       handOver,
 }
 
 func main() {
