--- a/review/standins-2/region.go
+++ b/review/standins-2/region.go
@@ -241,8 +241,10 @@
 	if err != nil {
 		return err
 	}
-	args := []string{"worker", "--id", "i-" + slot.name, "--service", serviceName, "--zone", slot.zone,
-		"--control", slot.control, "--listen", fmt.Sprintf("%s:%d", slot.ip, appPort)}
+	args := []string{
+		"worker", "--id", "i-" + slot.name, "--service", serviceName, "--zone", slot.zone,
+		"--control", slot.control, "--listen", fmt.Sprintf("%s:%d", slot.ip, appPort),
+	}
 	command := exec.Command(self, append(args, slot.flags...)...)
 	input, err := command.StdinPipe()
 	if err != nil {
