--- a/review/standins-2/region.go
+++ b/review/standins-2/region.go
@@ -108,7 +108,7 @@
 	if err := g.store.serve(fmt.Sprintf("%s.200:%d", g.network, storePort)); err != nil {
 		return nil, err
 	}
-	g.store.put("op/config", `{"version":1,"routes":[`+routes+`],"services":[{"name":"pool","rejectsOverload":true,"standby":false}],"limits":{"bodyBytes":262144}}`)
+	g.store.put(names.Configuration, `{"version":1,"routes":[`+routes+`],"services":[{"name":"pool","rejectsOverload":true,"standby":false}],"limits":{"bodyBytes":262144}}`)
 	for i := range entries {
 		ip := fmt.Sprintf("%s.%d", g.network, 1+i)
 		p, err := g.startRole("platform-entry", fmt.Sprintf("front-%d", i+1), ip, g.zones[i%len(g.zones)])
@@ -468,21 +468,25 @@
 
 // step is a step of a submission on the wire.
 type step struct {
-	Count          int    `json:"count"`
-	CPU            int    `json:"cpu"`
-	MemMb          int    `json:"memMb"`
+	Count          int `json:"count"`
+	CPU            int `json:"cpu"`
+	MemMb          int
 	EstimateMs     int    `json:"estimateMs,omitempty"`
 	After          []int  `json:"after,omitempty"`
 	Perpetual      bool   `json:"perpetual,omitempty"`
 	Image          string `json:"image,omitempty"`
 	TargetMs       int    `json:"targetMs,omitempty"`
-	FillCount      bool   `json:"fillCount,omitempty"`
+	FillCount      bool   `json:",omitempty"`
 	MaxPerServer   int    `json:"maxPerServer,omitempty"`
 	MaxUnavailable int    `json:"maxUnavailable,omitempty"`
 }
 
 func submission(spec string, steps ...step) string {
-	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
+	var encoded []any
+	for _, s := range steps {
+		encoded = append(encoded, encodeStep(s))
+	}
+	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": encoded})
 	return string(body)
 }
 
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -26,12 +26,12 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
-// txnBody is a transaction on the wire.
+// txnBody is a transaction on the wire. The names of its fields are matched without regard to case.
 type txnBody struct {
 	ExpectedRev []struct {
 		Key      string `json:"key"`
 		Revision uint64 `json:"revision"`
-	} `json:"expectedRev"`
+	}
 	Writes []struct {
 		Key   string `json:"key"`
 		Value []byte `json:"value"`
@@ -159,13 +159,13 @@
 			return
 		}
 		reply(w, http.StatusOK, item)
-	case r.URL.Path == "/kv-range":
+	case r.URL.Path == names.List:
 		s.list(w, query.Get("prefix"), query.Get("after"))
-	case r.URL.Path == "/kv-watch":
+	case r.URL.Path == names.Watch:
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
 		s.watch(w, r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
-	case r.URL.Path == "/kv-txn":
+	case r.URL.Path == names.Transaction:
 		s.transact(w, r)
 	default:
 		s.serveLease(w, r)
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -189,7 +189,7 @@
 	w.sequence++
 	body := map[string]any{
 		"service": w.service, "address": "", "zone": w.zone, "version": "v1", "slots": 8, "state": w.state, "coldLeftMs": 0,
-		"capacity": map[string]any{"cpu": w.capacityCPU, "memMb": w.capacityMem, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": w.capacityCPU, names.Memory: w.capacityMem, "gpu": 0}, "labels": []string{"a", "r1-1"},
 		"clockMs": w.clock().Milliseconds(), "seq": w.sequence, "born": w.born.UnixMilli(),
 	}
 	if w.state == "draining" {
@@ -278,16 +278,16 @@
 	w.changed = make(chan struct{})
 }
 
-// workerCall holds the fields of all calls of an agent.
+// workerCall holds the fields of all calls of an agent. Their names are matched without regard to case.
 type workerCall struct {
-	Task      string `json:"task"`
-	Run       uint32 `json:"run"`
-	Spec      string `json:"spec"`
-	DueMs     int64  `json:"dueMs"`
-	Fence     uint64 `json:"fence"`
-	AckedUpto uint64 `json:"ackedUpto"`
-	WaitMs    int64  `json:"waitMs"`
-	Percent   int    `json:"percent"`
+	Task      string
+	Run       uint32
+	Spec      string
+	DueMs     int64
+	Fence     uint64
+	AckedUpto uint64
+	WaitMs    int64
+	Percent   int
 }
 
 // ServeHTTP implements http.Handler.
@@ -322,9 +322,9 @@
 	w.fence = call.Fence
 	w.mu.Unlock()
 	switch r.URL.Path {
-	case "/run-start":
+	case names.StartRun:
 		w.start(out, call)
-	case "/run-stop":
+	case names.StopRun:
 		w.stop(out, call)
 	case "/hold":
 		w.hold(out, r, call)
@@ -350,8 +350,8 @@
 }
 
 // extendLocked extends the lease; it never shortens it.
-func (w *worker) extendLocked(dueMs int64) {
-	due := min(time.Duration(dueMs)*time.Millisecond, w.clock()+w.holdMax)
+func (w *worker) extendLocked(leaseEnd int64) {
+	due := min(time.Duration(leaseEnd)*time.Millisecond, w.clock()+w.holdMax)
 	w.due = max(w.due, due)
 }
 
