--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -79,8 +79,13 @@
 // lateLeave delays the leave call of a worker's former life until its next life, under the same id, has work.
 func lateLeave(record *record, trouble bool) ([]string, error) {
 	const (
+		// The leave call is held up until the first retransmission after the cut.
 		cutTime  = 3500 * time.Millisecond
 		holdTime = 6300 * time.Millisecond
+		// serveTime is how long the worker serves after it has said that it drains.
+		serveTime   = 3200 * time.Millisecond
+		restartTime = 1500 * time.Millisecond
+		submitTime  = 5 * time.Second
 	)
 	var network *proxy
 	g, err := begin(record, 3, 7, func(g *region) (err error) {
@@ -95,19 +100,19 @@
 	defer g.close()
 	slot := g.slots[0]
 	fmt.Fprintln(slot.worker.input, "drain 3000")
-	time.Sleep(3200 * time.Millisecond)
+	time.Sleep(serveTime)
 	if trouble {
-		record.add("case", "the path from %s to its agent is cut for %s", slot.name, cutTime)
+		record.add("case", "the path from %s to its agent is cut one way for %s", slot.name, cutTime)
 		network.cut(cutTime, holdTime)
 	}
 	left := time.Now()
 	fmt.Fprintln(slot.worker.input, "leave")
 	<-slot.worker.exited
-	time.Sleep(time.Until(left.Add(1500 * time.Millisecond)))
+	time.Sleep(time.Until(left.Add(restartTime)))
 	if err := g.startWorker(slot); err != nil {
 		return nil, err
 	}
-	time.Sleep(time.Until(left.Add(5000 * time.Millisecond)))
+	time.Sleep(time.Until(left.Add(submitTime)))
 	var ids []string
 	for range 5 {
 		id := newID()
@@ -259,17 +264,13 @@
 		g.store.mu.Unlock()
 	}
 	// Other submissions arrive at the same time, so that a small share of the writes is lost.
-	others := make(chan []string)
+	others := make(chan struct{})
 	go func() {
-		var ids []string
+		defer close(others)
 		for range 12 {
-			other := newID()
-			if g.submit("/quick/", other, submission("ms=800;cpu=240", step{Count: 6, CPU: 240, MemMb: 64, EstimateMs: 800})) {
-				ids = append(ids, other)
-			}
+			g.submit("/quick/", newID(), submission("ms=800;cpu=240", step{Count: 6, CPU: 240, MemMb: 64, EstimateMs: 800}))
 			time.Sleep(150 * time.Millisecond)
 		}
-		others <- ids
 	}()
 	bake := step{Count: 4, CPU: 1800, MemMb: 256, EstimateMs: 2500}
 	second, third := bake, bake
--- a/review/standins-2/region.go
+++ b/review/standins-2/region.go
@@ -65,7 +65,6 @@
 	name, ip, zone string
 	// control is where the worker sends its status reports.
 	control string
-	flags   []string
 	agent   *process
 	worker  *process
 	life    int
@@ -89,7 +88,11 @@
 	all  []*process
 }
 
-const serviceName = "pool"
+// serviceName is the service of all workers, clientHost the host of all queues.
+const (
+	serviceName = "pool"
+	clientHost  = "h.example"
+)
 
 // newRegion starts a store with the configuration, entries and machines with workers.
 func newRegion(record *record, entries, workers int, routes string, shares map[string]string) (*region, error) {
@@ -245,7 +248,7 @@
 		"worker", "--id", "i-" + slot.name, "--service", serviceName, "--zone", slot.zone,
 		"--control", slot.control, "--listen", fmt.Sprintf("%s:%d", slot.ip, appPort),
 	}
-	command := exec.Command(self, append(args, slot.flags...)...)
+	command := exec.Command(self, args...)
 	input, err := command.StdinPipe()
 	if err != nil {
 		return err
@@ -329,16 +332,12 @@
 
 // call sends one call of a client and returns the status and the body. The status is 0 without an answer.
 func (g *region) call(method string, entry int, path, body string, timeout time.Duration) (int, string) {
-	return g.callHost(method, entry, "h.example", path, body, timeout)
-}
-
-func (g *region) callHost(method string, entry int, host, path, body string, timeout time.Duration) (int, string) {
 	url := fmt.Sprintf("http://%s.%d:%d%s", g.network, 1+entry, clientPort, path)
 	request, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, ""
 	}
-	request.Host = host
+	request.Host = clientHost
 	request.Header.Set("Clementineflow-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	if body != "" {
 		request.Header.Set("Content-Type", "application/json")
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -74,8 +74,6 @@
 // worker is a stand-in for one life of an application worker. It does what the page on running tasks says.
 type worker struct {
 	id, service, zone, control string
-	capacityCPU, capacityMem   int64
-	holdMax, stopTime, beat    time.Duration
 	born                       time.Time
 
 	mu         sync.Mutex
@@ -102,6 +100,17 @@
 	how    string
 }
 
+// Figures of every worker.
+const (
+	// capacityCPU is in thousandths of a core, capacityMem in MB.
+	capacityCPU = 16000
+	capacityMem = 64000
+	// holdMax is the longest lease, stopTime the time of a stop, and beat the time between two status reports.
+	holdMax  = 10 * time.Second
+	stopTime = 50 * time.Millisecond
+	beat     = 1500 * time.Millisecond
+)
+
 // say writes one event for the driver.
 func say(format string, args ...any) {
 	fmt.Printf("%d %s\n", time.Now().UnixMicro(), fmt.Sprintf(format, args...))
@@ -112,8 +121,8 @@
 
 func (w *worker) clock() time.Duration { return clockOffset + time.Since(w.born) }
 
-// runWorker is the command of a worker process. It obeys the lines "drain MILLIS",
-// "leave", "latency MILLIS" and "reset MILLIS" on its input.
+// runWorker is the command of a worker process. It obeys the lines "drain MILLIS", "leave", "latency MILLIS" and
+// "reset MILLIS" on its input.
 func runWorker(args []string) {
 	flags := flag.NewFlagSet("worker", flag.ExitOnError)
 	w := &worker{running: map[string]*workerRun{}, highestRun: map[string]uint32{}, changed: make(chan struct{}), state: "ready", baseLatency: usualLatencyMs}
@@ -123,11 +132,6 @@
 	flags.StringVar(&w.zone, "zone", "", "zone")
 	flags.StringVar(&w.control, "control", "", "address for status reports")
 	flags.StringVar(&listen, "listen", "", "address for calls")
-	flags.Int64Var(&w.capacityCPU, "cpu", 16000, "capacity in thousandths of a core")
-	flags.Int64Var(&w.capacityMem, "mem", 64000, "capacity in MB")
-	flags.DurationVar(&w.holdMax, "hold-max", 10*time.Second, "longest lease")
-	flags.DurationVar(&w.stopTime, "stop-time", 50*time.Millisecond, "time of a stop")
-	flags.DurationVar(&w.beat, "beat", 1500*time.Millisecond, "time between status reports")
 	_ = flags.Parse(args)
 	w.born = time.Now()
 	listener, err := net.Listen("tcp4", listen)
@@ -180,7 +184,7 @@
 func (w *worker) report() {
 	for {
 		w.sendReport()
-		time.Sleep(w.beat)
+		time.Sleep(beat)
 	}
 }
 
@@ -189,7 +193,7 @@
 	w.sequence++
 	body := map[string]any{
 		"service": w.service, "address": "", "zone": w.zone, "version": "v1", "slots": 8, "state": w.state, "coldLeftMs": 0,
-		"capacity": map[string]any{"cpu": w.capacityCPU, names.Memory: w.capacityMem, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": capacityCPU, names.Memory: capacityMem, "gpu": 0}, "labels": []string{"a", "r1-1"},
 		"clockMs": w.clock().Milliseconds(), "seq": w.sequence, "born": w.born.UnixMilli(),
 	}
 	if w.state == "draining" {
@@ -307,11 +311,6 @@
 	if reset {
 		panic(http.ErrAbortHandler)
 	}
-	w.carryOut(out, r, &call)
-}
-
-// carryOut does what a call asks for.
-func (w *worker) carryOut(out http.ResponseWriter, r *http.Request, call *workerCall) {
 	w.mu.Lock()
 	if call.Fence < w.fence {
 		say("%s %s refused: fence %d, seen %d", r.URL.Path, call.Task, call.Fence, w.fence)
@@ -323,11 +322,11 @@
 	w.mu.Unlock()
 	switch r.URL.Path {
 	case names.StartRun:
-		w.start(out, call)
+		w.start(out, &call)
 	case names.StopRun:
-		w.stop(out, call)
+		w.stop(out, &call)
 	case "/hold":
-		w.hold(out, r, call)
+		w.hold(out, r, &call)
 	case "/pace":
 		w.mu.Lock()
 		if run := w.running[call.Task]; run != nil && run.run == call.Run {
@@ -351,7 +350,7 @@
 
 // extendLocked extends the lease; it never shortens it.
 func (w *worker) extendLocked(leaseEnd int64) {
-	due := min(time.Duration(leaseEnd)*time.Millisecond, w.clock()+w.holdMax)
+	due := min(time.Duration(leaseEnd)*time.Millisecond, w.clock()+holdMax)
 	w.due = max(w.due, due)
 }
 
@@ -386,7 +385,7 @@
 		cpu += run.work.reservedCPU()
 		memory += run.work.memory
 	}
-	if cpu > w.capacityCPU || memory > w.capacityMem {
+	if cpu > capacityCPU || memory > capacityMem {
 		return "room"
 	}
 	run := &workerRun{task: call.Task, run: call.Run, work: work, began: time.Now(), pace: 100}
@@ -398,9 +397,9 @@
 func (w *worker) stop(out http.ResponseWriter, call *workerCall) {
 	w.mu.Lock()
 	run := w.running[call.Task]
-	if run != nil && run.run <= call.Run && !run.stopping {
+	if run != nil && run.run == call.Run && !run.stopping {
 		run.stopping = true
-		time.AfterFunc(w.stopTime, func() {
+		time.AfterFunc(stopTime, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.endLocked(run, "stopped")
