Send a stop that the worker refused for its fence again

Cause: a refusal counted as success. The agent wakes with stop orders of its former link and sends them with that link's fence, while its poll carries the fence of the new link already. The worker answers 409 (fence); the adapter returned no error for 409 to a stop or a pace call, so the agent logged "run stopped" and polled for the end of the run for ever, and the stop orders that the coordinator repeated were ignored as in progress.

A refused stop goes out again once a newer link has brought a higher fence. The stand-in workers answer a lower fence as the users' page says; they had taken such a stop for carried out.

--- a/internal/runner/missing_test.go
+++ b/internal/runner/missing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,21 +69,28 @@
 	})
 }
 
-// changedPolls is a worker whose polls are replaced.
+// changedPolls is a worker whose polls and stop calls are replaced, unless poll or stop is nil.
 type changedPolls struct {
 	*jobworker.Worker
 	poll func(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error)
+	stop func(ctx context.Context, target runner.Target, task string, run uint32) error
 	// prepare is called before the agent starts.
 	prepare func()
-	stops   int
+	stops   atomic.Int64
 }
 
 func (w *changedPolls) Poll(ctx context.Context, request runner.PollRequest) (runner.Snapshot, error) {
+	if w.poll == nil {
+		return w.Worker.Poll(ctx, request)
+	}
 	return w.poll(ctx, request)
 }
 
 func (w *changedPolls) StopRun(ctx context.Context, target runner.Target, task string, run uint32) error {
-	w.stops++
+	w.stops.Add(1)
+	if w.stop != nil {
+		return w.stop(ctx, target, task, run)
+	}
 	return w.Worker.StopRun(ctx, target, task, run)
 }
 
@@ -101,7 +109,7 @@
 				ended = true
 			}
 		}
-		is.Equal(w.stops, 0)
+		is.Equal(w.stops.Load(), int64(0))
 	})
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -52,12 +52,14 @@
 	local.stopInProgress = false
 }
 
-// stopUntilAnswered repeats a stop call until the worker answers it. It returns false if the context ends, the
-// worker's incarnation changes or the worker is lost.
+// stopUntilAnswered repeats a stop call until the worker answers it. A call that the worker refuses for its fence is sent
+// again once a newer link has brought a higher one: until then the worker obeys the holder of the higher fence. It returns
+// false if the context ends, the worker's incarnation changes or the worker is lost.
 func (a *Agent) stopUntilAnswered(ctx context.Context, task string, run uint32) bool {
 	a.mu.Lock()
 	incarnation := a.worker
 	a.mu.Unlock()
+	minFence := uint64(0)
 	for {
 		a.mu.Lock()
 		target := a.targetLocked()
@@ -66,16 +68,36 @@
 		if ended {
 			return false
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.config.Worker.StopRun(callCtx, target, task, run)
-		cancel()
-		if err == nil || errors.Is(err, ErrInvalid) {
-			a.config.Logger.Info("run stopped", "task", task, "run", run)
-			return true
+		if target.Fence >= minFence {
+			err := a.stopOnce(ctx, target, task, run)
+			switch {
+			case err == nil || errors.Is(err, ErrInvalid):
+				return true
+			case errors.Is(err, ErrFenced):
+				minFence = target.Fence + 1
+			}
 		}
-		a.config.Logger.Info("stop call got no answer", "task", task, "run", run, "error", err)
 		if !wait.Sleep(ctx, retryDelay) {
 			return false
 		}
 	}
 }
+
+// stopOnce makes one stop call and logs its result.
+func (a *Agent) stopOnce(ctx context.Context, target Target, task string, run uint32) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := a.config.Worker.StopRun(callCtx, target, task, run)
+	logger := a.config.Logger.With("task", task, "run", run, "fence", target.Fence)
+	switch {
+	case err == nil:
+		logger.Info("run stopped")
+	case errors.Is(err, ErrFenced):
+		logger.Warn("stop call refused for its fence; waiting for a newer link")
+	case errors.Is(err, ErrInvalid):
+		logger.Warn("worker rejected the stop call as invalid", "error", err)
+	default:
+		logger.Info("stop call got no answer", "error", err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/runner/stop_test.go
@@ -0,0 +1,41 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementineflow/internal/link"
+	"clementineflow/internal/runner"
+	"clementineflow/internal/wire"
+)
+
+// startLongRun starts the first run of the long task.
+func startLongRun(is *is.I, conn link.Conn, w *changedPolls) {
+	lastPing := waitForReport(is, conn)
+	is.NoErr(conn.Send(&wire.StartRun{Task: longTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
+	collectReports(is, conn, time.Second)
+	is.Equal(w.ActiveRuns(), 1)
+}
+
+// orderStop orders the agent to stop a run of the long task and returns the runs that it reports as absent within the
+// duration.
+func orderStop(is *is.I, conn link.Conn, run uint32, d time.Duration) []*wire.RunAbsent {
+	is.NoErr(conn.Send(&wire.StopRun{Task: longTask, Run: run, WorkerID: "w", Incarnation: 1}))
+	_, absent := collectReports(is, conn, d)
+	return absent
+}
+
+// TestRefusedStopWaitsForANewerLink guards against an agent that calls its worker again and again with a fence that the
+// worker has refused, since the holder of a higher one has taken over.
+func TestRefusedStopWaitsForANewerLink(t *testing.T) {
+	w := &changedPolls{}
+	w.stop = func(context.Context, runner.Target, string, uint32) error { return runner.ErrFenced }
+	runWithWorker(t, w, func(is *is.I, conn link.Conn) {
+		startLongRun(is, conn, w)
+		is.Equal(len(orderStop(is, conn, 1, 2*time.Second)), 0)
+		is.Equal(w.stops.Load(), int64(1))
+	})
+}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -19,6 +19,8 @@
 	ErrOtherIncarnation = errors.New("runner: another incarnation of the worker answered")
 	// ErrUnhealthy means that the worker is unhealthy and the call had no effect.
 	ErrUnhealthy = errors.New("runner: worker is unhealthy")
+	// ErrFenced means that the worker has seen a higher fence than that of the call, which had no effect.
+	ErrFenced = errors.New("runner: worker refused the call for its fence")
 	// ErrInvalid means that the worker rejects the call in any state, so a retry can't succeed.
 	ErrInvalid = errors.New("runner: worker rejected the call as invalid")
 )
--- a/internal/standin/jobworker/calls.go
+++ b/internal/standin/jobworker/calls.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	if target.Fence < w.fence {
-		return nil
+		return runner.ErrFenced
 	}
 	w.fence = target.Fence
 	w.highestRuns[task] = max(w.highestRuns[task], run)
@@ -137,7 +137,7 @@
 	}
 	if request.Fence < w.fence {
 		w.mu.Unlock()
-		return runner.Snapshot{}, errNoAnswer
+		return runner.Snapshot{}, runner.ErrFenced
 	}
 	w.fence = request.Fence
 	w.extendLeaseLocked(request.LeaseEnd)
