Stop a run again that outlasts its answered stop

The agent took any answer for the end of its work and then polled for the run's end, while the stop orders that the coordinator repeated were ignored as in progress.

Change: a run that a poll still lists maxStopTime after its stop was answered is stopped again.

Evidence: TestStopThatWasNotCarriedOutIsRepeated failed before ("answered" and "invalid").

--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -212,7 +212,8 @@
 }
 
 // confirmAbsent reports a run as absent once a poll shows that it is not on the worker. If a call got no
-// answer, it stops the run first so that a delayed start can't take effect.
+// answer, it stops the run first so that a delayed start can't take effect, and again while the run outlasts its stop by
+// maxStopTime: the worker may have answered without carrying the call out.
 func (a *Agent) confirmAbsent(ctx context.Context, local *localRun, reason string, unanswered bool) {
 	if unanswered && !a.stopUntilAnswered(ctx, local.task, local.run) {
 		return
@@ -229,6 +230,13 @@
 			// The run is on the worker after all; the poll has added it to the runs.
 			return
 		}
+		if ok && present && !ending {
+			a.config.Logger.Warn("run is still on its worker after its stop; stopping it again", "task", local.task, "run", local.run)
+			if !a.stopUntilAnswered(ctx, local.task, local.run) {
+				return
+			}
+			stopped = a.config.Now()
+		}
 		if !wait.Sleep(ctx, retryDelay) {
 			return
 		}
--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -12,6 +12,9 @@
 	"clementineflow/internal/wire"
 )
 
+// maxStopDelay bounds the time from a stop order to the end of its run if the worker ignores the first stop call.
+const maxStopDelay = 4 * time.Second
+
 // startLongRun starts the first run of the long task.
 func startLongRun(is *is.I, conn link.Conn, w *changedPolls) {
 	lastPing := waitForReport(is, conn)
@@ -28,6 +31,27 @@
 	return absent
 }
 
+// TestStopThatWasNotCarriedOutIsRepeated guards against a run of a cancelled job that works on for good, because the worker
+// answered the stop call, or rejected it as invalid, and the run is still there (UNASKED).
+func TestStopThatWasNotCarriedOutIsRepeated(t *testing.T) {
+	for name, answer := range map[string]error{"answered": nil, "invalid": runner.ErrInvalid} {
+		t.Run(name, func(t *testing.T) {
+			w := &changedPolls{}
+			w.stop = func(ctx context.Context, target runner.Target, task string, run uint32) error {
+				if w.stops.Load() == 1 {
+					return answer
+				}
+				return w.Worker.StopRun(ctx, target, task, run)
+			}
+			runWithWorker(t, w, func(is *is.I, conn link.Conn) {
+				startLongRun(is, conn, w)
+				orderStop(is, conn, 1, maxStopDelay)
+				is.Equal(w.ActiveRuns(), 0)
+			})
+		})
+	}
+}
+
 // TestRefusedStopWaitsForANewerLink guards against an agent that calls its worker again and again with a fence that the
 // worker has refused, since the holder of a higher one has taken over.
 func TestRefusedStopWaitsForANewerLink(t *testing.T) {
