Send one stop call for each order for another run

Cause: a stop order for a run that the agent doesn't track, beside one that it does, began a loop of stop calls of its own, and so did each repetition of the order. A loop ended with the first answer; as a refused call is now sent again, a refusal would have kept them all.

Change: such an order causes one call. The coordinator repeats it until the run is reported as absent.

Evidence: TestStopOfAnotherRunIsNotRepeated failed before and passes now.

--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -33,7 +33,9 @@
 		a.runs[order.Task] = local
 	}
 	if local.run != order.Run {
-		a.goroutines.Go(func() { a.stopUntilAnswered(a.baseCtx, order.Task, order.Run) })
+		// The coordinator repeats the order, so one attempt is enough.
+		target := a.targetLocked()
+		a.goroutines.Go(func() { _ = a.stopOnce(a.baseCtx, target, order.Task, order.Run) })
 		return
 	}
 	local.stopRequested = true
--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -63,3 +63,19 @@
 		is.Equal(w.stops.Load(), int64(1))
 	})
 }
+
+// TestStopOfAnotherRunIsNotRepeated guards against an agent that starts one more loop of stop calls with each stop order for
+// a run that it doesn't track.
+func TestStopOfAnotherRunIsNotRepeated(t *testing.T) {
+	w := &changedPolls{}
+	w.stop = func(context.Context, runner.Target, string, uint32) error { return context.DeadlineExceeded }
+	runWithWorker(t, w, func(is *is.I, conn link.Conn) {
+		startLongRun(is, conn, w)
+		const orders = 3
+		for range orders {
+			orderStop(is, conn, 2, 10*time.Millisecond)
+		}
+		collectReports(is, conn, time.Second)
+		is.Equal(w.stops.Load(), int64(orders))
+	})
+}
