Store a cancellation also if there is no job yet

Cause: an entry that found no record of the job answered 410 and left nothing behind. A write without an answer takes effect later if its condition still holds, and its condition is that the job has no record.

Change: the cancellation is stored before the call is answered, whether there is a job or not. The coordinator keeps such a cancellation, as before, and cancels the job when it finds it. Cancellations without a job are removed from the store and from memory after the status period; before, one stayed for good if its job had been removed. The histories and the soak withdraw submissions of unknown outcome too and count 410 as an acknowledgement.

Ruled out: asking the entry's list of open writes, which doesn't cover another entry, a restart or a longer list.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -70,6 +70,9 @@
 	for _, id := range next.Remove {
 		transaction.Deletes = append(transaction.Deletes, JobKey(id), CancelKey(id), ProgressKey(id))
 	}
+	for _, id := range next.RemoveCancels {
+		transaction.Deletes = append(transaction.Deletes, CancelKey(id))
+	}
 	return transaction
 }
 
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"clementineflow/internal/job"
 	"clementineflow/internal/store"
@@ -26,15 +25,16 @@
 // Commit is a set of records to be written in one transaction. Its effects are applied after it was written.
 type Commit struct {
 	Records []Record
-	// Remove lists jobs whose records are deleted.
-	Remove []string
+	// Remove lists jobs whose records are deleted, RemoveCancels jobs of which only the cancellation is deleted.
+	Remove        []string
+	RemoveCancels []string
 
 	entries []*entry
 	effects [][]effect
 }
 
 // Empty reports whether there is nothing to write.
-func (c *Commit) Empty() bool { return len(c.Records) == 0 && len(c.Remove) == 0 }
+func (c *Commit) Empty() bool { return len(c.Records)+len(c.Remove)+len(c.RemoveCancels) == 0 }
 
 func (p *Planner) markDirty(e *entry) {
 	if !e.dirty {
@@ -72,12 +72,18 @@
 		p.addRecord(c, e, wallMillis)
 	}
 	p.dirty = slices.DeleteFunc(p.dirty, func(e *entry) bool { return !e.dirty })
-	count = min(len(p.removable), (room-recordEntries*len(c.Records))/removalEntries)
-	c.Remove = slices.Clone(p.removable[:count])
-	p.removable = p.removable[count:]
+	room -= recordEntries * len(c.Records)
+	c.Remove, p.removable = takeFirst(p.removable, room/removalEntries)
+	c.RemoveCancels, p.removableCancels = takeFirst(p.removableCancels, room-removalEntries*len(c.Remove))
 	return c
 }
 
+// takeFirst splits a list after at most count elements.
+func takeFirst(list []string, count int) (first, rest []string) {
+	count = min(len(list), count)
+	return slices.Clone(list[:count]), list[count:]
+}
+
 // chooseRecords returns at most count jobs whose records can be written now: first those that start a task,
 // then the others, both in the order of their changes.
 func (p *Planner) chooseRecords(count int) []*entry {
@@ -125,6 +131,11 @@
 	for _, id := range c.Remove {
 		delete(p.jobs, id)
 	}
+	for _, id := range c.RemoveCancels {
+		if cancel := p.pendingCancels[id]; cancel != nil && cancel.removing {
+			delete(p.pendingCancels, id)
+		}
+	}
 }
 
 // publishState makes the committed state of a job visible to callers.
@@ -163,6 +174,7 @@
 		}
 	}
 	p.removable = append(p.removable, c.Remove...)
+	p.removableCancels = append(p.removableCancels, c.RemoveCancels...)
 }
 
 // recordTimings records the delays up to the first start order of a run.
@@ -209,14 +221,3 @@
 		Task: r.name(), Run: task.Run, WorkerID: task.Worker.ID, Incarnation: task.Worker.Incarnation,
 	}})
 }
-
-// ExpireJobs schedules the removal of jobs that ended before the status period. wallMillis is the wall clock time.
-func (p *Planner) ExpireJobs(wallMillis int64) {
-	bound := wallMillis - p.timing.StatusPeriod.Milliseconds()
-	for id, e := range p.jobs {
-		if e.published.Final() && !e.dirty && !e.inFlight && e.progress.EndedAtMillis < bound && e.assigned == 0 {
-			p.removable = append(p.removable, id)
-			e.progress.EndedAtMillis = wallMillis + time.Hour.Milliseconds()
-		}
-	}
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,8 +28,8 @@
 	searchID uint64
 	// runsByIncarnation holds the tasks that are assigned to each incarnation of a worker.
 	runsByIncarnation map[job.WorkerIncarnation]map[ref]struct{}
-	// pendingCancels holds the ids of cancelled jobs that were not added yet.
-	pendingCancels map[string]bool
+	// pendingCancels holds the cancellations of jobs that were not added yet, by the job's id.
+	pendingCancels map[string]*pendingCancel
 
 	dirty     []*entry
 	orders    []Order
@@ -43,8 +43,10 @@
 	candidateBuffer []candidate
 	// active lists the jobs that were not final at the last Tick, in the order in which they were added.
 	active []*entry
-	// removable lists the ids of jobs whose records can be deleted.
-	removable []string
+	// removable lists the ids of jobs whose records can be deleted, removableCancels those of jobs that were never added
+	// and whose cancellations can be deleted.
+	removable        []string
+	removableCancels []string
 }
 
 // New returns a planner for a coordinator term that starts at the given time.
@@ -52,7 +54,7 @@
 	return &Planner{
 		timing: timing, now: now, termStart: now,
 		jobs: map[string]*entry{}, agents: map[string]*agent{},
-		runsByIncarnation: map[job.WorkerIncarnation]map[ref]struct{}{}, pendingCancels: map[string]bool{},
+		runsByIncarnation: map[job.WorkerIncarnation]map[ref]struct{}{}, pendingCancels: map[string]*pendingCancel{},
 		pressures: pressureTable{}, durations: durationTable{}, stalls: stallCheck{assignedAt: now},
 	}
 }
@@ -149,7 +151,7 @@
 			"work_core_ms", p.remainingWork(e).Milliseconds(), "age_ms", age.Milliseconds(),
 			"objective_ms", p.objective(e).Milliseconds())
 	}
-	if p.pendingCancels[spec.ID] {
+	if p.pendingCancels[spec.ID] != nil {
 		p.Cancel(spec.ID)
 	}
 	p.failExhaustedTasks(e)
@@ -236,7 +238,7 @@
 func (p *Planner) Cancel(id string) {
 	e, ok := p.jobs[id]
 	if !ok {
-		p.pendingCancels[id] = true
+		p.pendingCancels[id] = &pendingCancel{since: p.now}
 		return
 	}
 	delete(p.pendingCancels, id)
--- a/test/jobs/history_test.go
+++ b/test/jobs/history_test.go
@@ -99,7 +99,7 @@
 	return nil
 }
 
-// submitRandomJob submits a random job to a random entry, sometimes twice, and cancels some of the accepted ones.
+// submitRandomJob submits a random job to a random entry, sometimes twice, and cancels some of those that are, or may be, stored.
 func (h *history) submitRandomJob() {
 	e := h.entry()
 	if e == nil {
@@ -124,7 +124,7 @@
 			h.refusedAfterUnknown[id] = h.refusedAfterUnknown[id] || h.unknown[id]
 		}
 	}
-	if cancel && h.accepted[id] {
+	if cancel && (h.accepted[id] || h.unknown[id]) {
 		h.cancelRequested[id] = true
 		h.cancel(e, id)
 	}
--- a/test/jobs/region_test.go
+++ b/test/jobs/region_test.go
@@ -201,7 +201,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	outcome := e.gateway.Cancel(ctx, id).Outcome
-	if outcome == gateway.Accepted {
+	if outcome == gateway.Accepted || outcome == gateway.NoJob {
 		r.recorder.Mu.Lock()
 		r.recorder.Cancelled[id] = time.Now()
 		r.recorder.Mu.Unlock()
