Believe a leave call only if its worker refuses connections

Cause: a leave call names a worker and none of its lives. The agent reported all runs as absent at once.

Ruled out: believing the call if the present life has said that it drains. A life that drains serves for seconds, and the call of the life before can arrive then ("leaving" in the test).

Change: the call is a hint. One refused connection after it, in place of 0.5 s of them, means that the worker has left, without a crash. A worker that answers 2 s later did not send it.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -72,6 +72,8 @@
 	pollsBegun   uint64
 	answeredAt   time.Duration
 	refusedSince time.Duration
+	// leftAt is when the latest leave call in the worker's name arrived, or zero if the worker has answered since.
+	leftAt time.Duration
 	// failingSince is when the first call failed since the worker's last answer, or zero.
 	failingSince time.Duration
 	// crash is the latest crash of the worker, or nil. It is part of each report, since a report can be lost.
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -38,7 +38,7 @@
 // recordCrashLocked records a crash of the current incarnation of the worker with the runs that it ended. It does
 // nothing if the worker had announced its end, or if no run was on it.
 func (a *Agent) recordCrashLocked() {
-	if a.worker.Leaving || a.workerLost || !a.snapshotTaken {
+	if a.worker.Leaving || a.leftAt != 0 || a.workerLost || !a.snapshotTaken {
 		return
 	}
 	crash := &wire.WorkerCrash{WorkerID: a.worker.ID, Incarnation: a.worker.Incarnation, Runs: a.crashedRunsLocked()}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -57,24 +57,13 @@
 	a.ends = newEndList()
 	a.absent = map[string]uint32{}
 	a.snapshotTaken, a.endsKnown, a.workerLost, a.incarnationVerified = false, false, false, false
-	a.snapshotClock, a.refusedSince, a.failingSince = 0, 0, 0
+	a.snapshotClock, a.refusedSince, a.failingSince, a.leftAt = 0, 0, 0, 0
 	a.answeredAt = a.config.Now()
 	a.pacer.resetRuns()
 	a.serving = nil
 	a.lease.resetClock()
 }
 
-// HandleWorkerLeft reports all runs as absent because the worker has left. It ignores the ID of any other worker.
-func (a *Agent) HandleWorkerLeft(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.worker.ID != id {
-		return
-	}
-	a.config.Logger.Info("worker has left", "worker", id, "runs", len(a.runs))
-	a.reportWorkerLostLocked("worker has left")
-}
-
 // reportWorkerLostLocked marks the worker as lost and reports all its runs as absent: its incarnation or its
 // lease has ended. A coordinator that doesn't receive this learns of the loss from its first report, and asks for the
 // runs by stop orders.
--- a/internal/runner/loss.go
+++ b/internal/runner/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,6 +26,28 @@
 	}
 }
 
+// HandleWorkerLeft records a leave call in the name of a worker. The call names no incarnation, and one of an earlier
+// incarnation can arrive late, so it ends no runs by itself: the worker counts as lost once it refuses a connection, and
+// that is no crash. A worker that still answers leaveTimeout later did not send the call.
+func (a *Agent) HandleWorkerLeft(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.worker.ID != id || a.workerLost {
+		return
+	}
+	a.config.Logger.Info("leave call of a worker", "worker", id, "leaving", a.worker.Leaving, "runs", len(a.runs))
+	a.leftAt = a.config.Now()
+	a.wakeLocked()
+}
+
+// expireLeaveLocked drops a leave call that the worker has outlasted by leaveTimeout.
+func (a *Agent) expireLeaveLocked(now time.Duration) {
+	if a.leftAt != 0 && now-a.leftAt > leaveTimeout {
+		a.config.Logger.Warn("ignored a leave call: the worker still answers", "worker", a.worker.ID, "born", a.worker.Incarnation)
+		a.leftAt = 0
+	}
+}
+
 // handlePollError records a poll without an answer of the known incarnation of the worker.
 func (a *Agent) handlePollError(err error) {
 	a.mu.Lock()
@@ -35,8 +58,8 @@
 }
 
 // recordFailureLocked records that the known incarnation of the worker did not answer; err is nil if another one may
-// have answered. The worker counts as lost once it has refused connections for refusedTimeout, or has not answered for
-// noAnswerTimeout and its lease has certainly ended.
+// have answered. The worker counts as lost once it has refused connections for refusedTimeout, or one connection after a
+// leave call, or has not answered for noAnswerTimeout and its lease has certainly ended.
 func (a *Agent) recordFailureLocked(err error) {
 	now := a.config.Now()
 	if !errors.Is(err, ErrNotSent) {
@@ -48,6 +71,9 @@
 		return
 	}
 	switch {
+	case a.refusedSince != 0 && a.leftAt != 0:
+		a.config.Logger.Info("worker has left", "worker", a.worker.ID, "runs", len(a.runs))
+		a.reportWorkerLostLocked(reasonLeft)
 	case a.refusedSince != 0 && now-a.refusedSince > refusedTimeout:
 		a.config.Logger.Warn("worker refuses connections", "worker", a.worker.ID, "runs", len(a.runs))
 		a.recordCrashLocked()
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -120,6 +120,7 @@
 	}
 	now := a.config.Now()
 	a.answeredAt, a.refusedSince, a.failingSince, a.incarnationVerified = now, 0, 0, true
+	a.expireLeaveLocked(now)
 	a.lease.observeClock(snapshot.Clock, now)
 	added := a.addEndsLocked(snapshot.Ends)
 	a.endsKnown = a.endsKnown || !snapshot.EndsTruncated
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -16,6 +16,7 @@
 	reasonExpired          = "order expired"
 	reasonAbsent           = "reported as absent before"
 	reasonOtherIncarnation = "other life of the worker"
+	reasonLeft             = "worker has left"
 	reasonLeaving          = "worker is leaving"
 	reasonInvalid          = "worker refused the start as invalid"
 	reasonStopped          = "stopped before it started"
--- a/internal/runner/timing.go
+++ b/internal/runner/timing.go
@@ -32,6 +32,8 @@
 	noAnswerTimeout = 2200 * time.Millisecond
 	// refusedTimeout is how long the worker must refuse connections before it counts as lost.
 	refusedTimeout = 500 * time.Millisecond
+	// leaveTimeout is how long a worker may still answer after its leave call; it ends as soon as the call is answered.
+	leaveTimeout = 2 * time.Second
 	// endsResendInterval is how long ends may stay unrecorded before they are reported again.
 	endsResendInterval = 2 * time.Second
 	// reportInterval is how often a report is repeated on a link: a message can be dropped although its link stays up, as
--- a/test/jobs/history_test.go
+++ b/test/jobs/history_test.go
@@ -28,6 +28,8 @@
 	settleTime = 40 * time.Second
 	// orderDelay is the delay of orders that a worker carries out late.
 	orderDelay = 4 * time.Second
+	// lateLeaveDelay is how long after the start of a worker the leave call of its previous incarnation arrives.
+	lateLeaveDelay = 3 * time.Second
 )
 
 // history runs random faults and submissions against a region and records the outcomes by job id.
@@ -144,7 +146,11 @@
 		}
 	case 2:
 		a.worker.Crash()
-		time.AfterFunc(time.Duration(h.random.IntN(4000))*time.Millisecond, a.worker.Restart)
+		time.AfterFunc(time.Duration(h.random.IntN(4000))*time.Millisecond, func() {
+			a.worker.Restart()
+			// The leave call of the former incarnation was held up.
+			time.AfterFunc(lateLeaveDelay, a.deliverLeave)
+		})
 	case 3:
 		a.worker.SetUnresponsive(true)
 		time.AfterFunc(time.Duration(h.random.IntN(8000))*time.Millisecond, func() { a.worker.SetUnresponsive(false) })
--- a/test/jobs/processes_test.go
+++ b/test/jobs/processes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"clementineflow/internal/coordinator"
@@ -34,6 +35,8 @@
 	name   string
 	zone   string
 	worker *jobworker.Worker
+	// runner is the agent's current process.
+	runner atomic.Pointer[runner.Agent]
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -102,6 +105,7 @@
 		Name: a.name, Worker: a.worker, LeaseTerm: leaseTerm, Authority: authority, Now: r.elapsed,
 		Logger: r.logger.With("agent", a.name),
 	})
+	a.runner.Store(agent)
 	r.network.listen(a.name, func(conn link.Conn) { agent.ServeLink(ctx, conn) })
 	registration := coordinator.Registration{
 		Name: a.name, Address: a.name, Store: r.memory, Reachable: agent.HasAuthority, Logger: r.logger.With("agent", a.name),
@@ -141,6 +145,9 @@
 	a.cancel = nil
 }
 
+// deliverLeave passes a leave call of the worker to the agent.
+func (a *agentProcess) deliverLeave() { a.runner.Load().HandleWorkerLeft("worker-" + a.name) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
