Believe the status of the incarnation that answers polls

Cause: a status report with an earlier start time than the known one counted as a late report of a former life.

Change: an answer to a poll names the life that gave it. A status report of the life that answered the latest poll in place of the known one is believed, whatever its start time.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -51,8 +51,10 @@
 	// incarnationVerified is set while the latest poll was answered by the incarnation in worker. Unless it is
 	// set, no end is confirmed: each incarnation numbers its ends from the start again.
 	incarnationVerified bool
-	coordinatorTerm     uint64
-	conn                link.Conn
+	// answeredBy is the incarnation that answered the latest poll in place of the known one, or zero.
+	answeredBy      int64
+	coordinatorTerm uint64
+	conn            link.Conn
 	// reportedAt is when the latest report was sent.
 	reportedAt time.Duration
 	pings      pingLog
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -8,7 +8,8 @@
 
 // UpdateStatus updates the agent with a status of the worker. It returns false if the status is of a previous
 // incarnation or older than the current one. An incarnation counts as previous only if the newer one has answered a
-// poll: the status of one that never existed must not hide the worker.
+// poll: the status of one that never existed must not hide the worker. Nor does it count as previous while it is the one
+// that answers polls: the time of day may have gone back between two starts of the worker.
 func (a *Agent) UpdateStatus(d WorkerStatus) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -17,7 +18,7 @@
 		if d.Sequence < a.worker.Sequence {
 			return false
 		}
-	case a.snapshotTaken && d.Incarnation < a.worker.Incarnation:
+	case a.snapshotTaken && d.Incarnation < a.worker.Incarnation && d.Incarnation != a.answeredBy:
 		a.config.Logger.Warn("ignored a description of a previous worker incarnation", "worker", d.ID, "born", d.Incarnation, "known_born", a.worker.Incarnation)
 		return false
 	default:
@@ -57,6 +58,7 @@
 	a.ends = newEndList()
 	a.absent = map[string]uint32{}
 	a.snapshotTaken, a.endsKnown, a.workerLost, a.incarnationVerified = false, false, false, false
+	a.answeredBy = 0
 	a.snapshotClock, a.refusedSince, a.failingSince, a.leftAt = 0, 0, 0, 0
 	a.answeredAt = a.config.Now()
 	a.pacer.resetRuns()
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -100,13 +100,17 @@
 	}
 }
 
-// verifyIncarnation reports whether the snapshot is of the known incarnation of the worker, and clears
-// incarnationVerified if not. A snapshot without an incarnation counts as matching.
+// verifyIncarnation reports whether the snapshot is of the known incarnation of the worker. If not, it clears
+// incarnationVerified and records which incarnation has answered. A snapshot without an incarnation counts as matching.
 func (a *Agent) verifyIncarnation(snapshot Snapshot) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	same := snapshot.Incarnation == 0 || snapshot.Incarnation == a.worker.Incarnation
 	a.incarnationVerified = a.incarnationVerified && same
+	a.answeredBy = 0
+	if !same {
+		a.answeredBy = snapshot.Incarnation
+	}
 	return same
 }
 
