--- a/test/jobs/history_test.go
+++ b/test/jobs/history_test.go
@@ -46,6 +46,8 @@
 	// outcomes holds the outcome of each attempt to submit a job, for failure messages.
 	outcomes map[string][]string
 	jobs     int
+	// extended adds faults to a history that leave its random choices as they are.
+	extended bool
 }
 
 // TestHistories guards against combinations of failures that break a guarantee about jobs. It runs seeded
@@ -55,17 +57,28 @@
 	for i := range *seeds {
 		seed := *firstSeed + i
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runHistory(t, uint64(seed)) })
+			synctest.Test(t, func(t *testing.T) { runHistory(t, uint64(seed), false) })
 		})
 	}
 }
 
-func runHistory(t *testing.T, seed uint64) {
+// TestExtendedHistories guards against the same with more faults: callers withdraw jobs of unknown outcome, and the leave
+// call of a worker's previous incarnation arrives late.
+func TestExtendedHistories(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, uint64(seed), true) })
+		})
+	}
+}
+
+func runHistory(t *testing.T, seed uint64, extended bool) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	h := &history{
 		region: newRegion(t, 3, 4, 0.98+0.02*random.Float64()), random: random,
 		accepted: map[string]bool{}, refused: map[string]bool{}, unknown: map[string]bool{}, cancelRequested: map[string]bool{},
-		refusedAfterUnknown: map[string]bool{}, outcomes: map[string][]string{},
+		refusedAfterUnknown: map[string]bool{}, outcomes: map[string][]string{}, extended: extended,
 	}
 	h.work = func(task string) jobworker.Work {
 		return jobworker.Work{
@@ -126,7 +139,7 @@
 			h.refusedAfterUnknown[id] = h.refusedAfterUnknown[id] || h.unknown[id]
 		}
 	}
-	if cancel && (h.accepted[id] || h.unknown[id]) {
+	if cancel && (h.accepted[id] || h.extended && h.unknown[id]) {
 		h.cancelRequested[id] = true
 		h.cancel(e, id)
 	}
@@ -148,8 +161,10 @@
 		a.worker.Crash()
 		time.AfterFunc(time.Duration(h.random.IntN(4000))*time.Millisecond, func() {
 			a.worker.Restart()
-			// The leave call of the former incarnation was held up.
-			time.AfterFunc(lateLeaveDelay, a.deliverLeave)
+			if h.extended {
+				// The leave call of the previous incarnation was held up.
+				time.AfterFunc(lateLeaveDelay, a.deliverLeave)
+			}
 		})
 	case 3:
 		a.worker.SetUnresponsive(true)
