Send the pace of a run that the agent has not set

Cause: a restarted agent took the runs that it found to be at full pace and sent only paces that differ from that.

Change: the pace of a run that the agent has not set is unknown, and the first adjustment sends it.

--- a/internal/runner/pace.go
+++ b/internal/runner/pace.go
@@ -13,6 +13,9 @@
 	fullPacePercent = 100
 	// minPacePercent is the smallest pace above 0; a lower one is set to 0.
 	minPacePercent = 10
+	// unknownPercent stands for the pace of a run that the agent has not set, as the call failed or a former process of the
+	// agent may have set another one.
+	unknownPercent = -1
 	// heldBackPercent is the pace below which a filler counts as held back.
 	heldBackPercent = 40
 	// maxPaceIncrease is the maximum rise of a pace per adjustment, in percentage points. A fall has no limit.
@@ -67,7 +70,7 @@
 type fillerPace struct {
 	run     uint32
 	percent int
-	// sentPercent is the pace that was last sent to the worker, or -1 if that call failed.
+	// sentPercent is the pace that was last sent to the worker, or unknownPercent.
 	sentPercent int
 	// heldBackSince is when the pace last fell below heldBackPercent.
 	heldBackSince time.Duration
@@ -110,13 +113,13 @@
 	p.allocatePaces(now, serving, fillers)
 }
 
-// syncFillers adds new fillers at full pace and removes those that are gone.
+// syncFillers adds fillers that were not admitted, with an unknown pace, and removes those that are gone.
 func (p *pacer) syncFillers(fillers []fillerRun) {
 	present := make(map[string]bool, len(fillers))
 	for _, filler := range fillers {
 		present[filler.task] = true
 		if known := p.paces[filler.task]; known == nil || known.run != filler.run {
-			p.paces[filler.task] = &fillerPace{run: filler.run, percent: fullPacePercent, sentPercent: fullPacePercent}
+			p.paces[filler.task] = &fillerPace{run: filler.run, percent: fullPacePercent, sentPercent: unknownPercent}
 		}
 	}
 	for task := range p.paces {
@@ -240,7 +243,7 @@
 // markUnsent makes takeChanges return a pace again that may not have reached the worker.
 func (p *pacer) markUnsent(change paceChange) {
 	if current := p.paces[change.task]; current != nil && current.run == change.run && current.sentPercent == change.percent {
-		current.sentPercent = -1
+		current.sentPercent = unknownPercent
 	}
 }
 
