Don't date a crash by a call that failed long before

Cause: the agent dated a crash by the first call without an answer, so a run that had just started then was blamed.

Evidence: TestCrashOfAFailingWorkerHasNoAge failed before in both variants.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -78,6 +78,9 @@
 	leftAt time.Duration
 	// failingSince is when the first call failed since the worker's last answer, or zero.
 	failingSince time.Duration
+	// endSeenAt is when a connection was first refused, or another incarnation first answered, since the worker's last
+	// answer, or zero.
+	endSeenAt time.Duration
 	// crash is the latest crash of the worker, or nil. It is part of each report, since a report can be lost.
 	crash *wire.WorkerCrash
 	pacer pacer
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -135,3 +135,30 @@
 		is.Equal(crash.Runs[0].AgeMillis, int64(-1))
 	})
 }
+
+// TestCrashOfAFailingWorkerHasNoAge guards against a crash that is blamed on a run that had just started when the worker
+// stopped answering, seconds before it crashed; whether the agent learns of it by refused connections or by the status of
+// the next incarnation.
+func TestCrashOfAFailingWorkerHasNoAge(t *testing.T) {
+	for name, restart := range map[string]bool{"stays down": false, "restarts at once": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithAgent(t, func(is *is.I, conn link.Conn, w *jobworker.Worker, agent *runner.Agent) {
+				lastPing := waitForReport(is, conn)
+				is.NoErr(conn.Send(&wire.StartRun{Task: longTask, Run: 1, WorkerID: "w", Incarnation: 1, LastPing: lastPing}))
+				collectReports(is, conn, 200*time.Millisecond)
+				w.SetUnresponsive(true)
+				collectReports(is, conn, 2*time.Second)
+				w.Crash()
+				if restart {
+					w.Restart()
+					w.SetUnresponsive(false)
+					status, _ := w.Describe("north", 1)
+					is.True(agent.UpdateStatus(status))
+				}
+				crash := receiveCrash(t, conn)
+				is.Equal(len(crash.Runs), 1)
+				is.Equal(crash.Runs[0].AgeMillis, int64(-1))
+			})
+		})
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -58,7 +58,7 @@
 	a.ends = newEndList()
 	a.absent = map[string]uint32{}
 	a.snapshotTaken, a.endsKnown, a.workerLost, a.incarnationVerified = false, false, false, false
-	a.answeredBy = 0
+	a.answeredBy, a.endSeenAt = 0, 0
 	a.snapshotClock, a.refusedSince, a.failingSince, a.leftAt = 0, 0, 0, 0
 	a.answeredAt = a.config.Now()
 	a.pacer.resetRuns()
--- a/internal/runner/loss.go
+++ b/internal/runner/loss.go
@@ -62,6 +62,9 @@
 // leave call, or has not answered for noAnswerTimeout and its lease has certainly ended.
 func (a *Agent) recordFailureLocked(err error) {
 	now := a.config.Now()
+	if a.endSeenAt == 0 && (errors.Is(err, ErrNotSent) || errors.Is(err, ErrOtherIncarnation)) {
+		a.endSeenAt = now
+	}
 	if !errors.Is(err, ErrNotSent) {
 		a.refusedSince = 0
 	} else if a.refusedSince == 0 {
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	now := a.config.Now()
-	a.answeredAt, a.refusedSince, a.failingSince, a.incarnationVerified = now, 0, 0, true
+	a.answeredAt, a.refusedSince, a.failingSince, a.endSeenAt, a.incarnationVerified = now, 0, 0, 0, true
 	a.expireLeaveLocked(now)
 	a.lease.observeClock(snapshot.Clock, now)
 	added := a.addEndsLocked(snapshot.Ends)
