Make a worker that keeps crashing the last choice

Cause: a blamed task went to the worker with the fewest runs, which is the one that has just crashed, and was given up there; and the idlest worker, which is the same, got new tasks after each restart, so five crashes came together under one task.

Change: a blamed task waits for up to a second for another worker than the one that has crashed under it. A worker with two crashes in a row, each within 2 s of the first starts of its life, is the last choice for a minute.

Ruled out: pausing such a worker as suspected. TestWatchSurvivesCrashesAtItsStarts failed then, since a long-running task waits for up to 2 s if all workers are suspected.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -77,7 +77,10 @@
 			p.releaseIncarnation(old, "worker was replaced by a new incarnation")
 		}
 	}
-	fresh := agent{name: a.name, connected: a.connected, ready: a.ready, incarnation: incarnation, authorityEnds: a.authorityEnds}
+	fresh := agent{
+		name: a.name, connected: a.connected, ready: a.ready, incarnation: incarnation, authorityEnds: a.authorityEnds,
+		crashesInRow: a.crashesInRow, crashedAt: a.crashedAt,
+	}
 	*a = fresh
 	a.neighbours.stale = true
 	for r := range p.runsByIncarnation[incarnation] {
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -133,8 +133,8 @@
 	r.entry.setPhase(r, job.PhaseAssigned)
 	task.Run++
 	task.Worker = a.incarnation
-	avoid, since := r.run().avoid, r.run().waitingSince
-	*r.run() = run{avoid: avoid, waitingSince: since}
+	former := *r.run()
+	*r.run() = run{avoid: former.avoid, crashedOn: former.crashedOn, waitingSince: former.waitingSince}
 	p.addAssignment(r, a.incarnation)
 	a.lastPlacementAt = p.now
 	if a.failuresInRow >= suspectAfter {
@@ -146,5 +146,5 @@
 	p.markDirty(r.entry)
 	r.entry.effects = append(r.entry.effects, effect{start: r, run: task.Run})
 	p.log("task assigned", "task", r.name(), "run", task.Run, "agent", a.name, "config", p.operator.Config.Version,
-		"waited_ms", (p.now - since).Milliseconds())
+		"waited_ms", (p.now - former.waitingSince).Milliseconds())
 }
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -32,6 +32,8 @@
 	// suspectedPenalty is subtracted from the score of a suspected worker. It is larger than any difference of the other
 	// scores.
 	suspectedPenalty = 16
+	// crashLoopPenalty is subtracted from the score of a worker that crashes again and again: it is the last choice.
+	crashLoopPenalty = 2 * suspectedPenalty
 	// fillerPatience is how long a filler waits for a worker on which it is not expected to be throttled. Fillers
 	// placed without headroom press on the runs there, and hold the room that the first jobs need.
 	fillerPatience = 5 * time.Second
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -71,6 +71,8 @@
 	// avoid is the agent whose worker gets a lower score for the next run, as the previous run failed, was
 	// refused or was moved away there.
 	avoid string
+	// crashedOn is the agent whose worker's latest crash was blamed on the task.
+	crashedOn string
 }
 
 // loadOr returns the reported load of the run, or unknown if none was reported.
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -102,6 +102,9 @@
 	if suspected {
 		candidate.score -= suspectedPenalty
 	}
+	if a.crashLooping(o.planner.now) {
+		candidate.score -= crashLoopPenalty
+	}
 	return StallNone
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -232,7 +232,7 @@
 		r.entry.idleSince = p.now
 	}
 	task.Worker = job.WorkerIncarnation{}
-	*r.run() = run{avoid: r.run().avoid}
+	*r.run() = run{avoid: r.run().avoid, crashedOn: r.run().crashedOn}
 }
 
 // Cancel moves a job to the cancelled state and stops its runs. A job that was not added yet is cancelled when
--- a/internal/planner/probation.go
+++ b/internal/planner/probation.go
@@ -7,7 +7,8 @@
 )
 
 // A task that was blamed for a crash is suspected from then on. A suspected task starts on the worker with the fewest
-// runs on which nothing else has just started. For probationPeriod nothing else starts there, and only
+// runs on which nothing else has just started, but not on the one that has crashed under it if there is another: a worker
+// that crashes by itself would crash again, which says nothing about the task. For probationPeriod nothing else starts there, and only
 // few other suspected tasks of its job elsewhere. If it crashes the next worker too, few runs are lost and nothing else
 // can be the cause.
 
@@ -23,8 +24,12 @@
 	// probationPeriod is how long a suspected task starts alone. It is longer than startCrashWindow, since the start order
 	// reaches the worker later than it is sent.
 	probationPeriod = startCrashWindow + 100*time.Millisecond
-	// suspectPatience is how long a suspected task waits for a worker on which nothing else has just started.
+	// suspectPatience is how long a suspected task waits for another worker than the one that has crashed under it, on which
+	// nothing else has just started.
 	suspectPatience = time.Second
+	// crashedOnPenalty is subtracted from the score of the worker that has crashed under a suspected task. It is larger than
+	// the number of runs on a worker.
+	crashedOnPenalty = 1e6
 	// maxJobProbations is the number of suspected tasks of one job that start at a time. All tasks of a job can crash
 	// their workers.
 	maxJobProbations = 4
@@ -51,6 +56,9 @@
 			continue
 		}
 		candidate.score = p.suspectedScore(candidate.agent)
+		if candidate.agent.name == r.run().crashedOn || candidate.agent.crashLooping(p.now) {
+			candidate.score -= crashedOnPenalty
+		}
 		accepting.list = append(accepting.list, candidate)
 	}
 	return &accepting
@@ -70,7 +78,7 @@
 // acceptsSuspected reports whether a suspected task may start on the worker now.
 func (p *Planner) acceptsSuspected(r ref, a *agent) bool {
 	quiet := a.lastPlacementAt == 0 || p.now-a.lastPlacementAt >= probationPeriod
-	return quiet || p.now-r.run().waitingSince >= suspectPatience
+	return quiet && a.name != r.run().crashedOn || p.now-r.run().waitingSince >= suspectPatience
 }
 
 // suspectedScore rates a worker for a suspected task: a crash there should end few runs.
--- a/internal/planner/timing.go
+++ b/internal/planner/timing.go
@@ -21,6 +21,10 @@
 	orderTimeout = 3 * time.Second
 	// suspectAfter is the number of failed runs in a row after which a worker is suspected.
 	suspectAfter = 3
+	// crashLoopAfter is the number of crashes in a row after which a worker is the last choice for a task.
+	crashLoopAfter = 2
+	// crashMemory is how long after its latest crash that holds.
+	crashMemory = time.Minute
 	// suspectPeriod is how long a suspected worker first gets no task before it is probed with one. The pause
 	// doubles with each further failure.
 	suspectPeriod = 2 * time.Second
