Count an outage from the start of the first failed attempt

Cause: a submission is refused 0.5 s after it began, while the outage of the store counted from the end of its first failed attempt. A first answer that takes 20 ms left the outage unknown, so the next submission was sent as a write.

Change: the outage counts from the start of the first failed attempt, or from the latest success if that came later. An attempt without an answer still counts from its end, so one lost answer is no outage.

--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -22,8 +22,10 @@
 // which cost no caller its submission. It is safe for concurrent use.
 type outage struct {
 	mu sync.Mutex
-	// failingSince is the time of the first of the consecutive failed calls, or zero after a success.
+	// failingSince is since when all calls have failed, or zero after a success.
 	failingSince time.Time
+	// succeededAt is when the latest call succeeded.
+	succeededAt time.Time
 	// known is set while the store is known to be away; confirmedAt is when that was last found.
 	known       bool
 	confirmedAt time.Time
@@ -55,19 +57,23 @@
 }
 
 // recordSuccess records a call that the store has answered after the given time.
-func (o *outage) recordSuccess(took time.Duration) {
+func (o *outage) recordSuccess(took time.Duration, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.usual = max(took, o.usual/2)
-	o.failingSince, o.known = time.Time{}, false
+	o.failingSince, o.succeededAt, o.known = time.Time{}, now, false
 }
 
-// recordFailure records a failed attempt. Attempts that have failed for refuseAfter are an outage.
-func (o *outage) recordFailure(now time.Time) {
+// recordFailure records an attempt that has failed, or was without an answer, since the given time. Attempts that have
+// failed for refuseAfter are an outage.
+func (o *outage) recordFailure(since, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.failingSince.IsZero() {
-		o.failingSince = now
+		o.failingSince = since
+		if since.Before(o.succeededAt) {
+			o.failingSince = o.succeededAt
+		}
 	}
 	if now.Sub(o.failingSince) >= refuseAfter {
 		o.known, o.confirmedAt = true, now
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -35,7 +35,8 @@
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
-	g.outage.recordSuccess(time.Since(sent))
+	answeredAt := time.Now()
+	g.outage.recordSuccess(answeredAt.Sub(sent), answeredAt)
 	return nil
 }
 
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -41,20 +41,24 @@
 	startedAt := time.Now()
 	// maybeStored is set once a write may have taken effect.
 	maybeStored := false
-	for {
-		attemptedAt := time.Now()
+	for attemptedAt := startedAt; ; attemptedAt = time.Now() {
 		reply, err := g.storeJob(ctx, host, path, spec)
+		answeredAt := time.Now()
 		if err == nil {
-			g.outage.recordSuccess(time.Since(attemptedAt))
+			g.outage.recordSuccess(answeredAt.Sub(attemptedAt), answeredAt)
 			if maybeStored && reply.Outcome != Accepted {
 				// An earlier attempt may still take effect.
 				reply.Outcome = Unknown
 			}
 			return reply
 		}
-		g.outage.recordFailure(time.Now())
-		maybeStored = maybeStored || errors.Is(err, store.ErrOutcomeUnknown)
-		if !maybeStored && (g.outage.isKnown() || time.Since(startedAt) > refuseAfter) {
+		failedSince := attemptedAt
+		if errors.Is(err, store.ErrOutcomeUnknown) {
+			// A lost answer is no sign of an outage until it is missing.
+			maybeStored, failedSince = true, answeredAt
+		}
+		g.outage.recordFailure(failedSince, answeredAt)
+		if !maybeStored && (g.outage.isKnown() || answeredAt.Sub(startedAt) > refuseAfter) {
 			return g.refuse(spec.ID, Refused, err.Error())
 		}
 		if maybeStored && time.Since(startedAt) > resolveTimeout || !g.waitForRetry(ctx) {
