--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 
 	"clementineflow/internal/store"
-	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
 )
 
@@ -70,25 +69,11 @@
 // term acknowledges anything: a later term that found the record would take it for newer than it is. It retries until it
 // succeeds or the context ends.
 func (t *term) takeHandover(ctx context.Context) error {
-	for {
-		err := t.tryTakeHandover(ctx)
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-		t.config.Logger.Warn("hand-over record not taken, retrying", "error", err)
-		if !wait.Sleep(ctx, tickInterval) {
-			return context.Cause(ctx)
-		}
-	}
+	return t.retryCall(ctx, "take hand-over record", t.tryTakeHandover)
 }
 
 func (t *term) tryTakeHandover(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	item, err := t.config.Store.Get(call, handoverKey)
+	item, err := t.config.Store.Get(ctx, handoverKey)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
@@ -97,7 +82,7 @@
 	}
 	// The record was written before this time, so its authorities end at the latest that long after it.
 	readAt := t.config.Now()
-	_, err = t.config.Store.Commit(call, store.Transaction{
+	_, err = t.config.Store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{
 			{Key: leaderKey, Revision: store.Revision(t.number)}, {Key: handoverKey, Revision: item.Revision},
 		},
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -12,30 +12,41 @@
 	"clementineflow/internal/wait"
 )
 
-// loadProgress reads the progress records of all jobs. It retries until it succeeds or the context ends.
-func (t *term) loadProgress(ctx context.Context) error {
+// retryCall repeats a store call until it succeeds or the context ends.
+func (t *term) retryCall(ctx context.Context, what string, call func(context.Context) error) error {
 	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		items, _, err := t.config.Store.ListAt(call, progressPrefix)
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		err := call(limited)
 		cancel()
 		if err == nil {
-			t.loadedProgress = make(map[string]store.KeyValue, len(items))
-			for _, item := range items {
-				t.loadedProgress[progressID(item.Key)] = item
-			}
-			t.config.Logger.Info("progress loaded", "jobs", len(items))
 			return nil
 		}
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		t.config.Logger.Warn("progress not loaded, retrying", "error", err)
+		t.config.Logger.Warn("store call failed, retrying", "what", what, "error", err)
 		if !wait.Sleep(ctx, tickInterval) {
 			return context.Cause(ctx)
 		}
 	}
 }
 
+// loadProgress reads the progress records of all jobs. It retries until it succeeds or the context ends.
+func (t *term) loadProgress(ctx context.Context) error {
+	return t.retryCall(ctx, "load progress", func(ctx context.Context) error {
+		items, _, err := t.config.Store.ListAt(ctx, progressPrefix)
+		if err != nil {
+			return err
+		}
+		t.loadedProgress = make(map[string]store.KeyValue, len(items))
+		for _, item := range items {
+			t.loadedProgress[progressID(item.Key)] = item
+		}
+		t.config.Logger.Info("progress loaded", "jobs", len(items))
+		return nil
+	})
+}
+
 // handleInput processes a change of a key under InputPrefix.
 func (t *term) handleInput(ctx context.Context, change store.Event) {
 	switch {
--- a/internal/planner/expiry.go
+++ b/internal/planner/expiry.go
@@ -2,14 +2,6 @@
 
 import "time"
 
-// pendingCancel is a stored cancellation of a job that was not added yet.
-type pendingCancel struct {
-	// since is when the cancellation was last received.
-	since time.Duration
-	// removing is set once its removal was scheduled.
-	removing bool
-}
-
 // ExpireJobs schedules the removal of jobs that ended before the status period, and of cancellations whose job has not
 // been added within it. wallMillis is the wall clock time.
 func (p *Planner) ExpireJobs(wallMillis int64) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -235,46 +235,6 @@
 	*r.run() = run{avoid: r.run().avoid, crashedOn: r.run().crashedOn}
 }
 
-// Cancel moves a job to the cancelled state and stops its runs. A job that was not added yet is cancelled when
-// it is added.
-func (p *Planner) Cancel(id string) {
-	e, ok := p.jobs[id]
-	if !ok {
-		p.pendingCancels[id] = &pendingCancel{since: p.now}
-		return
-	}
-	delete(p.pendingCancels, id)
-	if e.progress.State.Final() {
-		return
-	}
-	p.log("job cancelled", "job", id)
-	p.finishJob(e, job.StateCancelled)
-}
-
-// finishJob moves a job to a final state and stops its remaining runs.
-func (p *Planner) finishJob(e *entry, state job.State) {
-	e.progress.State = state
-	p.markDirty(e)
-	for step := range e.progress.Steps {
-		for index := range e.progress.Steps[step] {
-			p.stopOrRelease(ref{e, step, index})
-		}
-	}
-}
-
-// stopOrRelease stops a run that may exist on its worker, or releases an assignment for which no start order
-// was sent.
-func (p *Planner) stopOrRelease(r ref) {
-	if r.task().Phase != job.PhaseAssigned {
-		return
-	}
-	if !r.run().ordered {
-		p.releaseTask(r)
-		return
-	}
-	p.sendStop(r)
-}
-
 // JobState returns the published state of a job, or false if the job is not known. A queued job counts as running
 // once one of its runs was ordered.
 func (p *Planner) JobState(id string) (job.State, bool) {
