--- a/internal/runner/agent_test.go
+++ b/internal/runner/agent_test.go
@@ -33,6 +33,17 @@
 	agentName    = "agent-0"
 )
 
+// openLink opens the link of a coordinator's term to the agent.
+func openLink(t *testing.T, agent *runner.Agent, term uint64) link.Conn {
+	t.Helper()
+	conn, agentEnd := link.Pipe()
+	go agent.ServeLink(context.Background(), agentEnd)
+	if err := conn.Send(&wire.CoordinatorHello{Term: term, Fence: term, Agent: agentName}); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
 // runWithAgentLink runs an agent with a worker and passes the coordinator's end of the agent's link to the
 // test.
 func runWithAgentLink(t *testing.T, test func(is *is.I, conn link.Conn, w *jobworker.Worker)) {
@@ -54,11 +65,7 @@
 		w, agent, stop := startAgent(t)
 		status, _ := w.Describe("north", 1)
 		prepareWorker(w)
-		coordinatorEnd, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		if err := coordinatorEnd.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
-			t.Fatal(err)
-		}
+		coordinatorEnd := openLink(t, agent, 1)
 		if !agent.UpdateStatus(status) {
 			t.Fatal("status rejected")
 		}
@@ -79,11 +86,7 @@
 		}
 		agent, stop := startAgentWith(w)
 		status, _ := w.Describe("north", 1)
-		coordinatorEnd, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		if err := coordinatorEnd.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
-			t.Fatal(err)
-		}
+		coordinatorEnd := openLink(t, agent, 1)
 		agent.UpdateStatus(status)
 		test(is.New(t), coordinatorEnd)
 		coordinatorEnd.Close()
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -1,7 +1,6 @@
 package runner_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,11 +87,7 @@
 		is.True(agent.UpdateStatus(status))
 		is.Equal(receiveCrash(t, conn).Incarnation, int64(1))
 		conn.Close()
-		next, agentEnd := link.Pipe()
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go agent.ServeLink(ctx, agentEnd)
-		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		next := openLink(t, agent, 2)
 		is.Equal(receiveCompleteReport(is, next).Crash.Runs[0].Task, testTask)
 		next.Close()
 	})
--- a/internal/runner/loss_test.go
+++ b/internal/runner/loss_test.go
@@ -49,9 +49,7 @@
 		startBeforeCrash(is, conn, w, 10*time.Millisecond)
 		conn.Close()
 		time.Sleep(maxLossDelay)
-		next, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		next := openLink(t, agent, 2)
 		sendStop(is, next)
 		reports, absent := collectReports(is, next, time.Second)
 		is.True(reports[0].WorkerLost)
@@ -66,11 +64,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w, agent, stop := startAgent(t)
-		coordinatorEnd, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		if err := coordinatorEnd.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}); err != nil {
-			t.Fatal(err)
-		}
+		coordinatorEnd := openLink(t, agent, 1)
 		test(is.New(t), coordinatorEnd, w, agent)
 		coordinatorEnd.Close()
 		stop()
@@ -162,9 +156,7 @@
 		w.Crash()
 		conn.Close()
 		time.Sleep(maxLossDelay)
-		next, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		next := openLink(t, agent, 2)
 		sendStop(is, next)
 		ended, ok := receiveMessage(t, next, wire.KindAgentReport).(*wire.RunEnded)
 		is.True(ok) // not RunAbsent
@@ -173,31 +165,32 @@
 	})
 }
 
+// startByFormerProcess starts a run as a former process of the agent.
+func startByFormerProcess(t *testing.T, w runner.Worker, task string) {
+	t.Helper()
+	_, err := w.StartRun(context.Background(), runner.StartRequest{
+		Target: runner.Target{ID: "w"}, Task: task, Run: 1, LeaseEnd: time.Minute,
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // TestMissingOrdersAreReportedToTheNextCoordinator guards against a restarted agent that doesn't protect the runs on its
 // worker from fillers: the first coordinator that it told that it lacks their orders was about to end, and the next one
 // was not told (HARM).
 func TestMissingOrdersAreReportedToTheNextCoordinator(t *testing.T) {
 	runWithPreparedWorker(t, func(w *jobworker.Worker) {
-		// The former process of the agent has started the run.
-		_, err := w.StartRun(context.Background(), runner.StartRequest{
-			Target: runner.Target{ID: "w"}, Task: testTask, Run: 1, LeaseEnd: time.Minute,
-		})
-		if err != nil {
-			t.Error(err)
-		}
+		startByFormerProcess(t, w, testTask)
 	}, func(is *is.I, conn link.Conn, _ *jobworker.Worker, agent *runner.Agent) {
 		is.True(receiveCompleteReport(is, conn).Restarted)
 		conn.Close()
-		next, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		is.NoErr(next.Send(&wire.CoordinatorHello{Term: 2, Fence: 2, Agent: agentName}))
+		next := openLink(t, agent, 2)
 		is.True(receiveCompleteReport(is, next).Restarted)
 		is.NoErr(next.Send(&wire.StartRun{Task: testTask, Run: 1, WorkerID: "w", Incarnation: 1}))
 		synctest.Wait()
 		next.Close()
-		last, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		is.NoErr(last.Send(&wire.CoordinatorHello{Term: 3, Fence: 3, Agent: agentName}))
+		last := openLink(t, agent, 3)
 		is.True(!receiveCompleteReport(is, last).Restarted)
 		last.Close()
 	})
@@ -207,12 +200,7 @@
 // fillers, because the coordinator dropped its answer to the only report on the link that orders are missing (HARM).
 func TestMissingOrdersAreReportedAgain(t *testing.T) {
 	runWithPreparedWorker(t, func(w *jobworker.Worker) {
-		_, err := w.StartRun(context.Background(), runner.StartRequest{
-			Target: runner.Target{ID: "w"}, Task: longTask, Run: 1, LeaseEnd: time.Minute,
-		})
-		if err != nil {
-			t.Error(err)
-		}
+		startByFormerProcess(t, w, longTask)
 	}, func(is *is.I, conn link.Conn, _ *jobworker.Worker, _ *runner.Agent) {
 		is.True(receiveCompleteReport(is, conn).Restarted)
 		const resent = 4 * time.Second
--- a/internal/runner/paused_test.go
+++ b/internal/runner/paused_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"clementineflow/internal/link"
 	"clementineflow/internal/runner"
 	"clementineflow/internal/standin/jobworker"
 	"clementineflow/internal/wire"
@@ -41,18 +40,13 @@
 func TestPausedFillerWorksAfterARestartOfItsAgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		// The former process has also paused the run.
 		w := &pacedWorker{Worker: newWorker(), paces: map[string]int{longTask: 0}}
-		// The former process of the agent has started the run and paused it.
-		_, err := w.StartRun(t.Context(), runner.StartRequest{
-			Target: runner.Target{ID: "w"}, Task: longTask, Run: 1, LeaseEnd: time.Minute,
-		})
-		is.NoErr(err)
+		startByFormerProcess(t, w, longTask)
 		agent, stop := startAgentWith(w)
 		defer stop()
-		conn, agentEnd := link.Pipe()
+		conn := openLink(t, agent, 1)
 		defer conn.Close()
-		go agent.ServeLink(t.Context(), agentEnd)
-		is.NoErr(conn.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}))
 		status, _ := w.Describe("north", 1)
 		is.True(agent.UpdateStatus(status))
 		is.True(receiveCompleteReport(is, conn).Restarted)
--- a/internal/runner/skipped_test.go
+++ b/internal/runner/skipped_test.go
@@ -8,11 +8,9 @@
 
 	"github.com/matryer/is"
 
-	"clementineflow/internal/link"
 	"clementineflow/internal/resource"
 	"clementineflow/internal/runner"
 	"clementineflow/internal/standin/jobworker"
-	"clementineflow/internal/wire"
 )
 
 // slowStopWorker is a worker whose stops take long and whose rows of active runs can't be read.
@@ -41,9 +39,7 @@
 		})
 		agent, stop := startAgentWith(slowStopWorker{w})
 		status, _ := w.Describe("north", 1)
-		conn, agentEnd := link.Pipe()
-		go agent.ServeLink(context.Background(), agentEnd)
-		is.NoErr(conn.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}))
+		conn := openLink(t, agent, 1)
 		agent.UpdateStatus(status)
 		startRun(is, conn, w, 1)
 		time.Sleep(10 * time.Millisecond)
--- a/internal/runner/status_test.go
+++ b/internal/runner/status_test.go
@@ -11,7 +11,6 @@
 	"clementineflow/internal/link"
 	"clementineflow/internal/runner"
 	"clementineflow/internal/standin/jobworker"
-	"clementineflow/internal/wire"
 )
 
 // TestChangedLabelsAreReported guards against tasks that wait although a worker has the label and room for them, because its
@@ -43,10 +42,8 @@
 		}
 		agent, stop := startAgentWith(w)
 		defer stop()
-		conn, agentEnd := link.Pipe()
+		conn := openLink(t, agent, 1)
 		defer conn.Close()
-		go agent.ServeLink(t.Context(), agentEnd)
-		is.NoErr(conn.Send(&wire.CoordinatorHello{Term: 1, Fence: 1, Agent: agentName}))
 		status, _ := w.Describe("north", 1)
 		former := status
 		former.Incarnation = number(status.Incarnation)
