Count a crash once for its worker

A crash whose runs are of unknown age counted as one soon after their starts.

Change: a crash counts once an incarnation, and only if the age of a run is known. What is known of a worker's crashes has a type of its own, which its incarnations share.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -79,7 +79,7 @@
 	}
 	fresh := agent{
 		name: a.name, connected: a.connected, ready: a.ready, incarnation: incarnation, authorityEnds: a.authorityEnds,
-		crashesInRow: a.crashesInRow, crashedAt: a.crashedAt,
+		crashes: a.crashes,
 	}
 	*a = fresh
 	a.neighbours.stale = true
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if a := p.agents[agentName]; a != nil {
-		a.addCrash(oldestAge(crash), p.now)
+		a.crashes.add(crash, p.now)
 	}
 	blamed, alone := blame(runs)
 	p.log("worker crashed", "agent", agentName, "worker", crash.WorkerID, "runs", len(runs), "blamed", blamed, "alone", alone)
@@ -65,15 +65,6 @@
 	return runs
 }
 
-// oldestAge returns the highest known age of the runs of a crash.
-func oldestAge(crash *wire.WorkerCrash) time.Duration {
-	oldest := int64(0)
-	for i := range crash.Runs {
-		oldest = max(oldest, crash.Runs[i].AgeMillis)
-	}
-	return time.Duration(oldest) * time.Millisecond
-}
-
 // blame marks the runs that may have crashed their worker: those that had just started. If there are none, nothing
 // tells a task that crashes its workers from one that was there by chance, and no run is blamed. It returns the number
 // of blamed runs, and whether they are of a single job.
--- a/internal/planner/crashloop_test.go
+++ b/internal/planner/crashloop_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"clementineflow/internal/job"
+	"clementineflow/internal/wire"
 )
 
 // keepCrashing submits jobs of two tasks while the worker of the first of four agents crashes 120 ms after each of its first
@@ -47,3 +48,23 @@
 	_, _, crashes := keepCrashing()
 	is.Equal(crashes, crashLoopAfter)
 }
+
+// TestCrashIsCountedOnceForItsWorker guards against a sound worker that becomes the last choice because its agent repeats
+// the report of one crash, or because it crashed long after its starts.
+func TestCrashIsCountedOnceForItsWorker(t *testing.T) {
+	is := is.New(t)
+	crash := func(incarnation, ageMillis int64) *wire.WorkerCrash {
+		return &wire.WorkerCrash{Incarnation: incarnation, Runs: []wire.CrashedRun{{AgeMillis: ageMillis}, {AgeMillis: -1}}}
+	}
+	h := crashHistory{}
+	now := time.Minute
+	h.add(crash(1, 10), now)
+	h.add(crash(1, 10), now)
+	h.add(crash(2, -1), now)
+	is.True(!h.looping(now))
+	h.add(crash(3, 10), now)
+	is.True(h.looping(now))
+	is.True(!h.looping(now + crashMemory + time.Second))
+	h.add(crash(4, time.Hour.Milliseconds()), now)
+	is.True(!h.looping(now))
+}
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -102,7 +102,7 @@
 	if suspected {
 		candidate.score -= suspectedPenalty
 	}
-	if a.crashLooping(o.planner.now) {
+	if a.crashes.looping(o.planner.now) {
 		candidate.score -= crashLoopPenalty
 	}
 	return StallNone
--- a/internal/planner/probation.go
+++ b/internal/planner/probation.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		candidate.score = p.suspectedScore(candidate.agent)
-		if candidate.agent.name == r.run().crashedOn || candidate.agent.crashLooping(p.now) {
+		if candidate.agent.name == r.run().crashedOn || candidate.agent.crashes.looping(p.now) {
 			candidate.score -= crashedOnPenalty
 		}
 		accepting.list = append(accepting.list, candidate)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -44,11 +44,7 @@
 
 	penaltyEnds   time.Duration
 	failuresInRow int
-	// crashesInRow counts the crashes of the worker's incarnations within probePeriod of their first starts, since one of its
-	// runs was last done.
-	crashesInRow int
-	// crashedAt is when the latest of them was counted.
-	crashedAt     time.Duration
+	crashes       crashHistory
 	suspectEnds   time.Duration
 	suspectPeriod time.Duration
 	// probe is the latest run that was placed as a probe, or the zero ref once it has ended. It is the only run that the
@@ -95,7 +91,7 @@
 
 // resetFailures clears the failures of the worker after a successful run.
 func (a *agent) resetFailures() {
-	a.failuresInRow, a.crashesInRow, a.probe = 0, 0, ref{}
+	a.failuresInRow, a.crashes.inRow, a.probe = 0, 0, ref{}
 	a.suspectEnds, a.suspectPeriod = 0, 0
 }
 
@@ -111,23 +107,6 @@
 	return true
 }
 
-// addCrash counts a crash of the worker whose oldest run had the given age.
-func (a *agent) addCrash(oldest, now time.Duration) {
-	if oldest > probePeriod || now-a.crashedAt > crashMemory {
-		a.crashesInRow = 0
-	}
-	if oldest <= probePeriod {
-		a.crashesInRow++
-		a.crashedAt = now
-	}
-}
-
-// crashLooping reports whether the worker has crashed again and again soon after its starts. It would otherwise be chosen
-// first, as the idlest one after each restart.
-func (a *agent) crashLooping(now time.Duration) bool {
-	return a.crashesInRow >= crashLoopAfter && now-a.crashedAt <= crashMemory
-}
-
 // beginProbe records that a run is placed on a suspected worker after its pause.
 func (a *agent) beginProbe(r ref, now time.Duration) {
 	a.probe, a.probeEnds = r, now+probePeriod
