--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -54,7 +54,7 @@
 		}
 		failedSince := attemptedAt
 		if errors.Is(err, store.ErrOutcomeUnknown) {
-			// A lost answer is no sign of an outage until it is missing.
+			// A call without an answer counts as failed once it has timed out.
 			maybeStored, failedSince = true, answeredAt
 		}
 		g.outage.recordFailure(failedSince, answeredAt)
