Report the ends of tasks up to the end of a planned stop

Cause: the agent learns of ends from a list that it reads once a second, and its planned stop waited for replies to requests only.

TestPlannedStop wants the list where it wanted the exit, and the exit with the answer.

Evidence: TestPlannedStopReportsTheLastEnds failed before.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -118,8 +118,10 @@
 	drainedAt time.Time
 	// finalHeartbeats holds the sequence of the heartbeat sent on each link after the drain; nil before it.
 	finalHeartbeats map[linkID]uint64
-	// lingerUntil is when a drained agent exits. It is zero until the drain is acknowledged.
+	// lingerUntil is until when a drained agent still refuses requests. It is zero until the drain is acknowledged.
 	lingerUntil time.Time
+	// finalListAt is when the runtime's attempts were listed for the last time before the exit, or zero.
+	finalListAt time.Time
 	exited      bool
 }
 
--- a/internal/agent/core_leave.go
+++ b/internal/agent/core_leave.go
@@ -40,7 +40,7 @@
 // preserves the order of messages. New work resets the drain.
 func (c *core) finishDrain() {
 	if !c.leaving || c.exited || c.hasWorkInProgress() {
-		c.finalHeartbeats, c.lingerUntil = nil, time.Time{}
+		c.finalHeartbeats, c.lingerUntil, c.finalListAt = nil, time.Time{}, time.Time{}
 		return
 	}
 	if c.finalHeartbeats == nil {
@@ -59,7 +59,7 @@
 	if c.lingerUntil.IsZero() {
 		c.lingerUntil = c.now.Add(stopLingerDuration)
 	}
-	if c.now.Before(c.lingerUntil) {
+	if c.now.Before(c.lingerUntil) || !c.endsReported() {
 		return
 	}
 	c.exited = true
@@ -67,6 +67,29 @@
 	c.addAction(exit{})
 }
 
+// endsReported reports whether the entries know the ends of all tasks. The agent lists the runtime's attempts once more for
+// that, as late as possible: if the VM is replaced after the stop, a task whose end was not reported runs again. It waits for
+// the entries for drainFlushTimeout at most.
+func (c *core) endsReported() bool {
+	if !c.attached || c.attaching || c.due(c.lingerUntil, drainFlushTimeout) {
+		return true
+	}
+	if c.listInFlight {
+		return false
+	}
+	if c.finalListAt.IsZero() {
+		c.finalListAt = c.now
+		c.listTasks()
+		return false
+	}
+	for _, a := range c.attempts {
+		if a.state == attemptEnded && a.unackedEvent != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // hasWorkInProgress reports whether a request or a start, evict or stop call has not finished.
 func (c *core) hasWorkInProgress() bool {
 	if len(c.requests) > 0 {
--- a/internal/agent/core_runtime.go
+++ b/internal/agent/core_runtime.go
@@ -101,6 +101,11 @@
 	if !c.attached || c.attaching || c.listInFlight || !c.due(c.lastListAt, listInterval) {
 		return
 	}
+	c.listTasks()
+}
+
+// listTasks lists the runtime's attempts.
+func (c *core) listTasks() {
 	c.listInFlight, c.lastListAt = true, c.now
 	c.addAction(listTasks{session: c.session})
 }
--- a/internal/agent/core_unit_test.go
+++ b/internal/agent/core_unit_test.go
@@ -195,6 +195,51 @@
 	b.is.Equal(messagesOf[*wire.RequestReply](late)[0].Reason, wire.NotRunLeaving)
 	b.now = b.now.Add(stopLingerDuration - time.Millisecond)
 	b.is.Equal(len(actionsOf[exit](b.handleEvent(tick{}))), 0)
+	b.answerList(runtime.PhaseRunning)
+	b.now = b.now.Add(time.Millisecond)
+	final := b.handleEvent(tick{})
+	b.is.Equal(len(actionsOf[exit](final)), 0)
+	b.is.Equal(len(actionsOf[listTasks](final)), 1)
+	b.is.Equal(len(actionsOf[exit](b.answerList(runtime.PhaseRunning))), 1)
+}
+
+// answerList passes the runtime's answer to a list call, with task "a" in the given phase.
+func (b *coreHarness) answerList(phase runtime.Phase) []action {
+	status := runtime.Status{TaskID: "a", Attempt: 1, Phase: phase}
+	return b.handleEvent(listResult{beganAt: b.now, session: harnessSession, tasks: []runtime.Status{status}})
+}
+
+// stopAndDrain stops the agent as planned, up to the time at which it lists the runtime's attempts for the last time.
+func (b *coreHarness) stopAndDrain() {
+	heartbeats := messagesOf[*wire.Heartbeat](b.handleEvent(stopRequested{}))
+	b.ackHeartbeat(1, heartbeats[len(heartbeats)-1].Sequence)
+	b.handleEvent(tick{}) // lists the attempts, as every second
+	b.answerList(runtime.PhaseRunning)
+	b.now = b.now.Add(stopLingerDuration)
+	b.is.Equal(len(actionsOf[listTasks](b.handleEvent(tick{}))), 1)
+}
+
+// TestPlannedStopReportsTheLastEnds guards against a task that runs a second time, because it ended during the planned stop
+// of its agent, which exited without reporting that, and its VM was replaced.
+func TestPlannedStopReportsTheLastEnds(t *testing.T) {
+	b := newCoreHarness(t)
+	b.startTask("a")
+	b.stopAndDrain()
+	listed := b.answerList(runtime.PhaseFinished)
+	b.is.Equal(messagesOf[*wire.TaskEvent](listed)[0].Type, wire.EventFinished)
+	b.is.Equal(len(actionsOf[exit](listed)), 0)
+	acked := b.receiveMessage(&wire.AckTaskEvent{TaskID: "a", Attempt: 1, Type: wire.EventFinished})
+	b.is.Equal(len(actionsOf[exit](acked)), 1)
+}
+
+// TestPlannedStopEndsWithoutAnswers guards against a planned stop that doesn't end because the runtime, or the entry, does
+// not answer any more.
+func TestPlannedStopEndsWithoutAnswers(t *testing.T) {
+	b := newCoreHarness(t)
+	b.startTask("a")
+	b.stopAndDrain()
+	b.now = b.now.Add(drainFlushTimeout - time.Millisecond)
+	b.is.Equal(len(actionsOf[exit](b.handleEvent(tick{}))), 0)
 	b.now = b.now.Add(time.Millisecond)
 	b.is.Equal(len(actionsOf[exit](b.handleEvent(tick{}))), 1)
 }
