--- a/internal/planner/crashloop_test.go
+++ b/internal/planner/crashloop_test.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// TestWorkerThatKeepsCrashingIsTheLastChoice guards against a worker that gets tasks at once after each of its crashes, which counts
-// against more and more of them: it is the idlest one then.
+// TestWorkerThatKeepsCrashingIsTheLastChoice guards against a worker that gets tasks at once after each of its crashes,
+// which counts against more and more of them: it is the idlest one then.
 func TestWorkerThatKeepsCrashingIsTheLastChoice(t *testing.T) {
 	is := is.New(t)
 	_, _, crashes := keepCrashing()
--- a/internal/planner/probation.go
+++ b/internal/planner/probation.go
@@ -8,9 +8,9 @@
 
 // A task that was blamed for a crash is suspected from then on. A suspected task starts on the worker with the fewest
 // runs on which nothing else has just started, but not on the one that has crashed under it if there is another: a worker
-// that crashes by itself would crash again, which says nothing about the task. For probationPeriod nothing else starts there, and only
-// few other suspected tasks of its job elsewhere. If it crashes the next worker too, few runs are lost and nothing else
-// can be the cause.
+// that crashes by itself would crash again, which says nothing about the task. For probationPeriod nothing else starts
+// there, and only few other suspected tasks of its job elsewhere. If it crashes the next worker too, few runs are lost and
+// nothing else can be the cause.
 
 // crashes returns the crashes that are recorded for the task.
 func (r ref) crashes() job.TaskCrashes { return r.entry.progress.CrashesOf(r.step, r.index) }
--- a/test/jobs/handover_test.go
+++ b/test/jobs/handover_test.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxLostMachineWait is the longest time from the loss of a machine to the next run of a task that lasts, with nothing
-	// else wrong near: the 3 s until calm is counted, and the 7 s of calm after which the task must run.
+	// maxLostMachineWait is the longest allowed time from the loss of a machine to the next run of a task that lasts, with
+	// nothing else wrong near: calm is counted from 3 s after the loss on, and the task must run after 7 s of it.
 	maxLostMachineWait = 10 * time.Second
 	// yieldInterval is the minimum time between two hand-overs by one entry, and a second for the hand-over.
 	yieldInterval = 11 * time.Second
