--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -74,7 +74,8 @@
 	pollsBegun   uint64
 	answeredAt   time.Duration
 	refusedSince time.Duration
-	// leftAt is when the latest leave call in the worker's name arrived, or zero if the worker has answered since.
+	// leftAt is when the latest leave call in the worker's name arrived, or zero if there was none or the worker has answered
+	// more than leaveTimeout after it.
 	leftAt time.Duration
 	// failingSince is when the first call failed since the worker's last answer, or zero.
 	failingSince time.Duration
