--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/bootclock"
 	"clementineflow/internal/contain"
 	"clementineflow/internal/coordinator"
@@ -65,8 +66,10 @@
 	e.view = operatorconfig.NewView(source, p.settings.Zones, p.logger)
 	dialer := link.NewDialer(nil)
 	monitor := gateway.NewStoreMonitor(p.logger)
+	limit := backlog.DeriveLimit(p.settings.MemoryBytes)
+	admission := backlog.NewAdmission(limit)
 	e.relay = relay.New(relay.Config{
-		Name: p.settings.Name, Address: p.settings.LinkAddress, Strength: p.settings.Processors,
+		Name: p.settings.Name, Address: p.settings.LinkAddress, Strength: p.settings.Processors, Backlog: limit,
 		Store: store.Observe(e.client, source.Prefix(), monitor), Dialer: dialer, Logger: p.logger,
 	})
 	e.coordinator = coordinator.New(coordinator.Config{
@@ -75,13 +78,14 @@
 		Timing: planner.Timing{
 			Authority: runAuthority, Margin: runAuthorityMargin, StatusPeriod: p.settings.StatusPeriod + statusRetentionMargin,
 		},
-		Options:       planner.Options{Order: options.Order, YieldThrottled: options.YieldThrottled, MatchFillers: options.MatchFillers},
+		Options: planner.Options{Order: options.Order, YieldThrottled: options.YieldThrottled, MatchFillers: options.MatchFillers},
+		Backlog: limit, Admission: admission,
 		KeepPressures: options.KeepPressures, Now: bootclock.Now, Logger: p.logger,
 	})
 	e.peer = gateway.NewPeer(p.settings.LinkAddress, e.coordinator, e.relay, dialer, p.logger)
 	e.peer.ShareSuspicions(monitor)
 	e.handler = platform.NewClientHandler(gateway.New(gateway.Config{
-		Store: e.relay, View: e.view, Coordinator: e.peer, Monitor: monitor, Logger: p.logger,
+		Store: e.relay, View: e.view, Coordinator: e.peer, Admission: admission, Monitor: monitor, Logger: p.logger,
 	}), p.logger)
 	return e
 }
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/link"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/planner"
@@ -31,6 +32,8 @@
 type Peers interface {
 	// MaxStrength returns the highest strength among the other registered entries.
 	MaxStrength() float64
+	// MinBacklog returns the smallest limit of stored jobs among the other registered entries, or 0 if none has one.
+	MinBacklog() backlog.Limit
 	// StrongerAvailable reports whether an entry with a strength above the threshold answers and can reach the
 	// store.
 	StrongerAvailable(ctx context.Context, threshold float64) bool
@@ -51,6 +54,10 @@
 	// KeepPressures makes terms keep what they learn about the pressure of fillers in the store.
 	KeepPressures bool
 	Options       planner.Options
+	// Backlog is the memory that this entry has for stored jobs; zero is no limit. Admission decides at this entry whether a
+	// job may be stored. It may be nil.
+	Backlog   backlog.Limit
+	Admission *backlog.Admission
 	// Now reads a clock that counts suspended time.
 	Now    func() time.Duration
 	Logger *log.Logger
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -62,7 +62,11 @@
 	defer c.mu.Unlock()
 	first := !c.known
 	c.known = true
+	c.config.Admission.Confirm()
 	for _, event := range events {
+		if event.Key == backlogKey {
+			c.applyBacklogState(event)
+		}
 		if event.Key != leaderKey {
 			continue
 		}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -8,7 +8,7 @@
 	"clementineflow/internal/wire"
 )
 
-// event is an input of the event loop. One of input, agent, commit, query and pressures is set; input may be
+// event is an input of the event loop. One of input, agent, commit, query, pressures and backlog is set; input may be
 // empty.
 type event struct {
 	input []store.Event
@@ -19,6 +19,8 @@
 	query  *query
 	// pressures is the outcome of a read or a write of the learned pressures.
 	pressures *pressuresEvent
+	// backlog is the outcome of a write of the state of the backlog.
+	backlog *backlogWritten
 }
 
 // agentEvent is a message from an agent, or the end of its link.
--- a/internal/coordinator/keys.go
+++ b/internal/coordinator/keys.go
@@ -9,6 +9,9 @@
 // Keys in the store.
 const (
 	leaderKey = "leader"
+	// backlogKey holds what the coordinator has no room for. It has the prefix leaderKey, so that the watch of the leader
+	// reports it as well.
+	backlogKey = leaderKey + "/backlog"
 	// handoverKey holds the record of a term that has ended by itself, until the next term takes it.
 	handoverKey = "handover"
 	// pressuresKey holds the pressures of fillers that the coordinators have learned.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -34,7 +34,9 @@
 	priorityPromotions   = metrics.NewCounter(`clementine_promoted_jobs_total{reason="priority"}`)
 	workerHolds          = metrics.NewCounter("clementine_worker_holds_total")
 	longRunningDeferrals = metrics.NewCounter("clementine_long_running_deferrals_total")
-	jobsOwedProgress     = metrics.NewGauge("clementine_jobs_owed_progress", nil)
+	// backlogBytes is the memory of the jobs and cancellations that the coordinator keeps, as it is estimated.
+	backlogBytes     = metrics.NewGauge("clementine_backlog_bytes", nil)
+	jobsOwedProgress = metrics.NewGauge("clementine_jobs_owed_progress", nil)
 )
 
 func newStalledTasks() map[planner.StallReason]*metrics.Gauge {
@@ -55,6 +57,7 @@
 // clearGauges sets the gauges of the coordinator to zero.
 func clearGauges() {
 	setStalledTasks(func(planner.StallReason) int { return 0 })
+	backlogBytes.Set(0)
 	jobsOwedProgress.Set(0)
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -44,6 +44,7 @@
 	commitRetryDelay time.Duration
 	sessions         map[string]*session
 	pressures        keptPressures
+	backlog          publishedBacklog
 	// done is closed when the term ends.
 	done  <-chan struct{}
 	group *conc.WaitGroup
@@ -132,6 +133,7 @@
 			setStalledTasks(t.planner.StalledTasks)
 			t.keepPressures(ctx)
 			t.checkPhases()
+			backlogBytes.Set(float64(t.planner.Usage().Total()))
 			jobsOwedProgress.Set(float64(t.planner.JobsOwedProgress()))
 		case <-expire.C:
 			t.planner.ExpireJobs(time.Now().UnixMilli())
@@ -177,6 +179,8 @@
 		t.handleCommit(e.commit)
 	case e.query != nil:
 		t.answerQuery(e.query)
+	case e.backlog != nil:
+		t.handleBacklogWritten(e.backlog)
 	case e.pressures != nil:
 		t.handlePressures(e.pressures)
 	default:
@@ -211,6 +215,7 @@
 // flush starts the next commits, logs the planner's decisions, updates the metrics and sends the orders.
 func (t *term) flush(ctx context.Context) {
 	t.startCommits(ctx)
+	t.publishBacklog(ctx)
 	for _, decision := range t.planner.TakeEvents() {
 		t.config.Logger.Info(decision.Message, decision.Fields...)
 	}
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -10,7 +10,8 @@
 	"clementineflow/internal/store"
 )
 
-// Cancel stores the cancellation of a job. The outcome is Accepted, NoJob or Unknown. The cancellation is also stored if
+// Cancel stores the cancellation of a job. The outcome is Accepted, NoJob, Unknown, or Refused if there is no job and no room
+// for its cancellation. The cancellation is also stored if
 // there is no job: a write of its submission may still take effect, or the submission may arrive again at another entry.
 // The coordinator then cancels the job when it finds it.
 func (g *Gateway) Cancel(ctx context.Context, id string) Reply {
@@ -19,6 +20,10 @@
 	if err != nil && known {
 		return g.refuse(id, Unknown, err.Error())
 	}
+	if !known && !g.config.Admission.AdmitCancellation() {
+		refusedWithoutRoom.Inc()
+		return g.refuse(id, Refused, errNoRoom.Error())
+	}
 	if err := g.storeCancellation(ctx, id); err != nil {
 		return g.refuse(id, Unknown, err.Error())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/coordinator"
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
@@ -45,6 +46,8 @@
 	Store       store.Service
 	View        *operatorconfig.View
 	Coordinator Coordinator
+	// Admission bounds what may be stored. It may be nil.
+	Admission *backlog.Admission
 	// Monitor also observes the calls of other components, if it is not nil.
 	Monitor *StoreMonitor
 	Logger  *log.Logger
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,7 +14,9 @@
 	// refusedUnwritten counts the submissions refused because of an error of the store, without a write that may have taken
 	// effect.
 	refusedUnwritten = metrics.NewCounter("clementine_submissions_refused_unwritten_total")
-	unknownOutcomes  = metrics.NewCounter("clementine_submissions_unknown_total")
+	// refusedWithoutRoom counts the submissions and cancellations refused because the coordinator has no room for them.
+	refusedWithoutRoom = metrics.NewCounter("clementine_refused_without_room_total")
+	unknownOutcomes    = metrics.NewCounter("clementine_submissions_unknown_total")
 )
 
 func newSuspicionCounters() [suspicionReasonCount]*metrics.Counter {
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/coordinator"
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
@@ -132,6 +133,9 @@
 	if queue.NeedsPlacementAdvice {
 		return g.refuse(spec.ID, Refused, "queues with placement advice are not supported"), nil
 	}
+	if !g.config.Admission.AdmitJob(queue.Name, backlog.JobBytes(spec)) {
+		return g.refuseWithoutRoom(ctx, spec.ID), nil
+	}
 	spec.Queue, spec.Service, spec.MaxAttempts = queue.Name, queue.Service, queue.AttemptLimit()
 	spec.AcceptedAt = time.Now().UTC()
 	value, err := job.EncodeSpec(spec)
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -170,6 +170,7 @@
 	}
 	p.yieldPaused()
 	p.active = slices.DeleteFunc(p.active, func(e *entry) bool { return e.progress.State.Final() })
+	p.releaseFinished()
 	p.checkStalls()
 	p.countOwedJobs()
 }
--- a/internal/planner/cancel.go
+++ b/internal/planner/cancel.go
@@ -19,10 +19,10 @@
 func (p *Planner) Cancel(id string) {
 	e, ok := p.jobs[id]
 	if !ok {
-		p.pendingCancels[id] = &pendingCancel{since: p.now}
+		p.addPendingCancel(id)
 		return
 	}
-	delete(p.pendingCancels, id)
+	p.removePendingCancel(id)
 	if e.progress.State.Final() {
 		return
 	}
--- a/internal/planner/commit.go
+++ b/internal/planner/commit.go
@@ -131,11 +131,11 @@
 		}
 	}
 	for _, id := range c.Remove {
-		delete(p.jobs, id)
+		p.removeEntry(id)
 	}
 	for _, id := range c.RemoveCancels {
 		if cancel := p.pendingCancels[id]; cancel != nil && cancel.removing {
-			delete(p.pendingCancels, id)
+			p.removePendingCancel(id)
 		}
 	}
 }
@@ -148,6 +148,7 @@
 	}
 	e.published = e.progress.State
 	if e.published.Final() {
+		p.finished = append(p.finished, e)
 		p.log("job ended", "job", e.spec.ID, "state", e.published, "after_ms", (p.now - e.submittedAt).Milliseconds())
 	}
 }
--- a/internal/planner/consistency_test.go
+++ b/internal/planner/consistency_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/interference"
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
@@ -102,7 +103,9 @@
 
 // checkDerivedState compares the planner's counters with the records that they are derived from.
 func checkDerivedState(t *rapid.T, p *Planner) {
+	held := int64(len(p.pendingCancels)) * backlog.CancellationBytes
 	for _, e := range p.jobs {
+		held += e.heldBytes
 		fresh := newEntry(e.spec, e.progress, 0, 0)
 		if fresh.waiting != e.waiting || fresh.assigned != e.assigned || e.allDone() != e.progress.AllDone() {
 			t.Fatalf("job %s counts %d waiting, %d assigned; the record has %d, %d", e.spec.ID, e.waiting, e.assigned, fresh.waiting, fresh.assigned)
@@ -113,6 +116,9 @@
 			}
 		}
 	}
+	if p.Usage().Total() != held {
+		t.Fatalf("usage of %d bytes, jobs and cancellations need %d", p.Usage().Total(), held)
+	}
 	if len(p.workers) != len(p.agents) || !slices.IsSortedFunc(p.workers, func(x, y *agent) int { return compareAgentName(x, y.name) }) {
 		t.Fatalf("%d workers listed, %d known", len(p.workers), len(p.agents))
 	}
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -40,6 +40,9 @@
 	// submittedAt is when the job was submitted. It may be before the start of the planner's term.
 	submittedAt time.Duration
 
+	// heldBytes is the part of the job in the planner's usage.
+	heldBytes int64
+
 	dirty    bool
 	inFlight bool
 	// effects are applied after the next commit of the job.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/store"
@@ -42,6 +43,9 @@
 	searchID uint64
 	// runsByIncarnation holds the tasks that are assigned to each incarnation of a worker.
 	runsByIncarnation map[job.WorkerIncarnation]map[ref]struct{}
+	// usage is the memory of jobs and pendingCancels. finished lists the ended jobs whose tasks are not released yet.
+	usage    backlog.Usage
+	finished []*entry
 	// pendingCancels holds the cancellations of jobs that were not added yet, by the job's id.
 	pendingCancels map[string]*pendingCancel
 
@@ -159,10 +163,7 @@
 	e := newEntry(spec, progress, revision, p.now)
 	e.submittedAt = p.now - max(0, age)
 	e.idleSince, e.progressAt = p.now, p.now
-	p.jobs[spec.ID] = e
-	if !progress.State.Final() {
-		p.active = append(p.active, e)
-	}
+	p.addEntry(e)
 	for step := range progress.Steps {
 		for index := range progress.Steps[step] {
 			p.restoreAssignment(ref{e, step, index})
--- a/internal/planner/scarcity_test.go
+++ b/internal/planner/scarcity_test.go
@@ -57,6 +57,9 @@
 func (s *scarcity) measureWaits() {
 	open := 0
 	for id, e := range s.planner.jobs {
+		if len(e.steps) == 0 {
+			continue // the job has ended and is released
+		}
 		progress := e.steps[0].done
 		for _, task := range e.progress.Steps[0] {
 			progress += int(task.Run)
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/store"
 	"clementineflow/internal/wait"
 	"clementineflow/internal/wire"
@@ -23,6 +24,9 @@
 	Address string `cbor:"1,keyasint"`
 	// Strength is the entry's processor share, in processors; it is zero in records of earlier versions.
 	Strength float64 `cbor:"2,keyasint,omitempty"`
+	// Backlog is the memory that the entry has for stored jobs as the coordinator, in bytes; it is zero if there is no limit,
+	// and in records of earlier versions.
+	Backlog int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // errInvalidRecord reports an entry's record that can't be used.
@@ -36,6 +40,9 @@
 	if math.IsNaN(r.Strength) || math.IsInf(r.Strength, 0) || r.Strength < 0 {
 		return errors.Wrapf(errInvalidRecord, "strength %g", r.Strength)
 	}
+	if r.Backlog < 0 {
+		return errors.Wrapf(errInvalidRecord, "backlog of %d bytes", r.Backlog)
+	}
 	return nil
 }
 
@@ -101,6 +108,19 @@
 	return highest
 }
 
+// minBacklog returns the smallest limit of stored jobs among the other entries, or 0 if none has one.
+func (d *directory) minBacklog() backlog.Limit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var smallest backlog.Limit
+	for _, known := range d.records {
+		if known.Address != d.own {
+			smallest = smallest.Min(backlog.Limit(known.Backlog))
+		}
+	}
+	return smallest
+}
+
 // selectLocked returns the sorted addresses of the other entries that match.
 func (d *directory) selectLocked(match func(record) bool) []string {
 	var addresses []string
@@ -116,7 +136,9 @@
 // register keeps this entry's record in the store until the context ends or the entry is retired. The record is
 // bound to a lease, so that the record of a failed entry expires.
 func (r *Relay) register(ctx context.Context) {
-	value, err := wire.Marshal(&record{Address: r.config.Address, Strength: r.config.Strength})
+	value, err := wire.Marshal(&record{
+		Address: r.config.Address, Strength: r.config.Strength, Backlog: int64(r.config.Backlog),
+	})
 	if err != nil {
 		r.config.Logger.Error("entry record can't be encoded", "error", err)
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
 	"clementineflow/internal/store"
@@ -22,9 +23,11 @@
 	Address string
 	// Strength is this entry's processor share, in processors. It is published in this entry's record.
 	Strength float64
-	Store    store.Service
-	Dialer   link.Dialer
-	Logger   *log.Logger
+	// Backlog is the memory that this entry has for stored jobs as the coordinator. It is published as well.
+	Backlog backlog.Limit
+	Store   store.Service
+	Dialer  link.Dialer
+	Logger  *log.Logger
 }
 
 // Relay is a store that makes its calls through another entry while this entry's own path is lost. Calls that
--- a/internal/relay/stronger.go
+++ b/internal/relay/stronger.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 
+	"clementineflow/internal/backlog"
 	"clementineflow/internal/wire"
 )
 
 // MaxStrength returns the highest strength among the other registered entries, or 0 if there are none.
 func (r *Relay) MaxStrength() float64 { return r.directory.maxStrength() }
 
+// MinBacklog returns the smallest limit of stored jobs among the other registered entries, or 0 if none has one.
+func (r *Relay) MinBacklog() backlog.Limit { return r.directory.minBacklog() }
+
 // StrongerAvailable reports whether an entry with a strength above the threshold answers and can reach the store.
 // It tries at most maxCandidates entries.
 func (r *Relay) StrongerAvailable(ctx context.Context, threshold float64) bool {
