--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/store"
+	"clementineflow/internal/telemetry"
 	"clementineflow/internal/wait"
 )
 
@@ -72,6 +73,7 @@
 // Gateway serves callers' requests. It is safe for concurrent use.
 type Gateway struct {
 	config    Config
+	refusals  *telemetry.RefusalLogger
 	unsettled *unsettled
 	outage    *outage
 	reads     sharedReads
@@ -85,7 +87,7 @@
 		config.Monitor = NewStoreMonitor(config.Logger)
 	}
 	config.Store = store.Observe(config.Store, "", config.Monitor)
-	g := &Gateway{config: config, unsettled: newUnsettled(), outage: &outage{}}
+	g := &Gateway{config: config, refusals: telemetry.NewRefusalLogger(config.Logger), unsettled: newUnsettled(), outage: &outage{}}
 	confirm := g.confirmSuspicion
 	config.Monitor.confirm.Store(&confirm)
 	return g
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -20,7 +20,7 @@
 	case err != nil:
 		return g.refuse(id, Unknown, errors.Wrap(err, errNoRoom.Error()).Error())
 	case known:
-		g.config.Logger.Info("job is already stored", "job", id)
+		g.refusals.Info("job is already stored", "job", id)
 		return Reply{Outcome: Accepted}
 	default:
 		return g.refuse(id, Refused, errNoRoom.Error())
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -117,7 +117,7 @@
 
 // refuse logs and returns a reply with an outcome other than Accepted.
 func (g *Gateway) refuse(id string, outcome Outcome, reason string) Reply {
-	g.config.Logger.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
+	g.refusals.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
 	return Reply{Outcome: outcome, RetryAfter: retryAfter, Reason: reason}
 }
 
@@ -193,7 +193,7 @@
 		return Reply{}, err
 	}
 	if failed.Revision(key) != 0 {
-		g.config.Logger.Info("job is already stored", "job", id, "revision", failed.Revision(key))
+		g.refusals.Info("job is already stored", "job", id, "revision", failed.Revision(key))
 		return Reply{Outcome: Accepted}, nil
 	}
 	g.config.View.ApplyFailedConditions(snapshot, failed, false, sent)
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -20,9 +20,13 @@
 // maxBatchBytes is the size at which a batch of lines is written.
 const maxBatchBytes = 16 << 10
 
-// maxPooledBytes is the capacity of the largest buffer kept for reuse, so that a long line does not hold its
-// memory.
-const maxPooledBytes = 16 << 10
+const (
+	// maxPooledBytes is the capacity of the largest buffer kept for reuse, so that a short line does not hold the memory of
+	// a long one.
+	maxPooledBytes = 1 << 10
+	// bytesPerLine is the memory of the queue for each line of its capacity. Most lines are shorter.
+	bytesPerLine = 1 << 10
+)
 
 var (
 	droppedLines = metrics.NewCounter("clementine_log_lines_dropped_total")
@@ -37,25 +41,30 @@
 	// maxPending is the maximum of pending, the number of lines accepted but not written yet.
 	maxPending int64
 	pending    atomic.Int64
-	flushes    chan chan struct{}
-	stopped    chan struct{}
-	buffers    sync.Pool
+	// maxPendingBytes is the maximum of pendingBytes, the memory of these lines.
+	maxPendingBytes int64
+	pendingBytes    atomic.Int64
+	flushes         chan chan struct{}
+	stopped         chan struct{}
+	buffers         sync.Pool
 	// unreported is the number of dropped lines that the log does not report yet.
 	unreported   atomic.Uint64
 	formatReport func(dropped uint64) []byte
 }
 
-// NewQueue returns a queue that holds at most capacity lines in addition to the one that is being written.
+// NewQueue returns a queue that holds at most capacity lines, of bytesPerLine in the mean, in addition to the one that is
+// being written.
 // Run writes the lines to the output.
 func NewQueue(output io.Writer, capacity int) *Queue {
 	return &Queue{
-		output:       output,
-		lines:        make(chan *bytes.Buffer, capacity+1),
-		maxPending:   int64(capacity) + 1,
-		flushes:      make(chan chan struct{}),
-		stopped:      make(chan struct{}),
-		buffers:      sync.Pool{New: func() any { return new(bytes.Buffer) }},
-		formatReport: formatTextReport,
+		output:          output,
+		lines:           make(chan *bytes.Buffer, capacity+1),
+		maxPending:      int64(capacity) + 1,
+		maxPendingBytes: (int64(capacity) + 1) * bytesPerLine,
+		flushes:         make(chan chan struct{}),
+		stopped:         make(chan struct{}),
+		buffers:         sync.Pool{New: func() any { return new(bytes.Buffer) }},
+		formatReport:    formatTextReport,
 	}
 }
 
@@ -73,8 +82,7 @@
 	buffer := q.buffers.Get().(*bytes.Buffer)
 	buffer.Reset()
 	buffer.Write(line)
-	if q.pending.Add(1) > q.maxPending {
-		q.pending.Add(-1)
+	if !q.reserve(int64(buffer.Cap())) {
 		q.releaseBuffer(buffer)
 		q.unreported.Add(1)
 		droppedLines.Inc()
@@ -84,6 +92,23 @@
 	return len(line), nil
 }
 
+// reserve takes the place of a line with the given memory in bytes, or reports that the queue is full. A line that needs more
+// than all of the queue is queued if it is the only one.
+func (q *Queue) reserve(bytes int64) bool {
+	lines, held := q.pending.Add(1), q.pendingBytes.Add(bytes)
+	if lines <= q.maxPending && (held <= q.maxPendingBytes || lines == 1) {
+		return true
+	}
+	q.release(1, bytes)
+	return false
+}
+
+// release gives back the places of lines and their memory in bytes.
+func (q *Queue) release(lines, bytes int64) {
+	q.pending.Add(-lines)
+	q.pendingBytes.Add(-bytes)
+}
+
 // Run writes queued lines until ctx is done, then writes the remaining lines and returns the context's error.
 func (q *Queue) Run(ctx context.Context) error {
 	defer close(q.stopped)
@@ -137,11 +162,12 @@
 // writeBatch writes a line together with the lines queued after it, to save system calls.
 func (q *Queue) writeBatch(buffer *bytes.Buffer) {
 	q.writeDropReport()
-	count := int64(1)
+	count, held := int64(1), int64(buffer.Cap())
 	for buffer.Len() < maxBatchBytes {
 		select {
 		case next := <-q.lines:
 			buffer.Write(next.Bytes())
+			held += int64(next.Cap())
 			q.releaseBuffer(next)
 			count++
 			continue
@@ -152,7 +178,7 @@
 	if _, err := q.output.Write(buffer.Bytes()); err != nil {
 		writeErrors.Inc()
 	}
-	q.pending.Add(-count)
+	q.release(count, held)
 	q.releaseBuffer(buffer)
 }
 
