--- a/cmd/clementined/platform.go
+++ b/cmd/clementined/platform.go
@@ -70,6 +70,7 @@
 		return nil, err
 	}
 	limits := ingress.DeriveLimits(loaded.MemoryBytes, loaded.MaxFiles)
+	limits.Processors = loaded.Processors
 	return &platformProcess{settings: loaded, logger: logger, queue: queue, ingress: ingress.New(limits, logger)}, nil
 }
 
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -10,6 +10,8 @@
 var (
 	// ErrTooLong reports data above the limit.
 	ErrTooLong = errors.New("ingress: too long")
+	// ErrBusy reports a long body that the process has no time to read soon.
+	ErrBusy = errors.New("ingress: too many long bodies")
 	// ErrNoMemory reports data that the budget has no memory for.
 	ErrNoMemory = errors.New("ingress: memory budget is exhausted")
 )
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -44,24 +44,14 @@
 	return accepted
 }
 
-// reserve takes n bytes from the budget, if necessary in place of connections with incomplete requests.
-func (c *conn) reserve(n int64) bool {
-	for !c.account.tryReserve(n) {
-		if c.closed.Load() || !c.listener.evictOldest() {
-			c.listener.meter.refuse(reasonMemory)
-			return false
-		}
-	}
-	return true
-}
-
-// activate reserves the memory to read and answer a request.
+// activate reserves the memory to read and answer a request, for which it may wait.
 func (c *conn) activate(outer net.Conn) bool {
 	// The connection itself must not make place for its own request.
 	if !c.listener.waiting.remove(c) {
 		return false
 	}
-	c.active = c.active || c.reserve(activeConnBytes)
+	c.listener.pace.awaitRequest()
+	c.active = c.active || c.awaitMemory(activeConnBytes)
 	if c.active && c.account != nil {
 		c.listener.waiting.add(c, outer)
 	}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -41,6 +41,8 @@
 	Bytes int64
 	// Conns is the number of open connections of all listeners.
 	Conns int
+	// Processors is the share of a processor for which connections and requests are paced. With zero they are not.
+	Processors float64
 }
 
 // DeriveLimits returns the limits for a process with a memory limit in bytes and a descriptor limit; zero means that
@@ -62,8 +64,9 @@
 // share returns the part of the limits for a listener with a share in sixteenths.
 func (l Limits) share(sixteenths int) Limits {
 	return Limits{
-		Bytes: l.Bytes * int64(sixteenths) / wholeShare,
-		Conns: max(minListenerConns, l.Conns*sixteenths/wholeShare),
+		Bytes:      l.Bytes * int64(sixteenths) / wholeShare,
+		Conns:      max(minListenerConns, l.Conns*sixteenths/wholeShare),
+		Processors: l.Processors * float64(sixteenths) / wholeShare,
 	}
 }
 
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
@@ -66,7 +67,8 @@
 	Explain func(*fasthttp.Response)
 }
 
-// Listener bounds the open connections of a listener. It closes connections above the bound at once.
+// Listener bounds the open connections of a listener. Connections above the bound wait for room for a short time, and are
+// closed at once if there has been none.
 type Listener struct {
 	net.Listener
 	budget *Budget
@@ -79,7 +81,12 @@
 	// connBytes is reserved while a connection is open.
 	connBytes int64
 	open      atomic.Int64
+	// fullSince is when a connection first found no room, or zero if the latest one found some. Only Accept uses it.
+	fullSince time.Time
 	waiting   waitingConns
+	// turn holds the request that waits for memory before all others.
+	turn chan struct{}
+	pace *pace
 	// unavailable is the response on a connection that there is no memory to read a request from.
 	unavailable []byte
 }
@@ -92,6 +99,7 @@
 		Listener: inner, budget: budget, unidentified: budget.Part(limits.Bytes / unidentifiedDivisor), config: config,
 		meter: newMeter(config.Name, budget, i.logger), bound: int64(limits.boundOf(&config)),
 		connBytes: idleConnBytes + config.ConnBytes, unavailable: unavailableResponse(config.Explain),
+		turn: make(chan struct{}, 1), pace: newPace(limits.Processors),
 	}
 	if config.HoldsCalls {
 		l.connBytes += activeConnBytes
@@ -105,6 +113,7 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		l.pace.awaitAccept()
 		inner, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -120,13 +129,14 @@
 // admit returns the connection with its reservation, or nil if it is above the bound or the budget.
 func (l *Listener) admit(inner net.Conn) *conn {
 	c := &conn{Conn: inner, listener: l}
-	if l.open.Load() >= l.bound && !l.evictOldest() {
+	if !l.awaitRoom(func() bool { return l.open.Load() < l.bound }) {
 		l.meter.refuse(reasonConns)
 		return nil
 	}
 	if l.CountsConns() {
 		c.account = l.NewAccount()
-		if !c.reserve(l.connBytes) {
+		if !l.awaitRoom(func() bool { return c.account.tryReserve(l.connBytes) }) {
+			l.meter.refuse(reasonMemory)
 			return nil
 		}
 		if !l.config.HoldsCalls {
--- a/internal/ingress/meter.go
+++ b/internal/ingress/meter.go
@@ -28,6 +28,8 @@
 	reasonHeader reason = "header"
 	// reasonSlow refuses a request that is not complete within the read timeout.
 	reasonSlow reason = "slow"
+	// reasonBusy refuses a long body since too many others came before it.
+	reasonBusy reason = "busy"
 	// reasonFrame refuses a frame that is too long, such as the first one of a peer.
 	reasonFrame reason = "frame"
 )
--- /dev/null
+++ b/internal/ingress/pace.go
@@ -0,0 +1,78 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Rates for each whole processor that the process may use. Together they take about half of its time.
+const (
+	acceptsPerProcessor   = 5_000    // connections per second
+	requestsPerProcessor  = 20_000   // requests per second
+	bodyBytesPerProcessor = 32 << 20 // bytes per second, of bodies longer than smallBodyBytes
+)
+
+const (
+	// minPerSecond is the smallest rate of connections and requests, and minBodyBytesPerSecond that of bodies.
+	minPerSecond          = 50
+	minBodyBytesPerSecond = 1 << 20
+	// burstTime is the time for whose share of the rates a listener accepts at once.
+	burstTime = time.Second
+	// smallBodyBytes is the length up to which bodies are not paced, so that short requests don't wait for long ones.
+	smallBodyBytes = 16 << 10
+	// bodyWait is the longest time that a long body waits before it is read. Without a place it is refused at once.
+	bodyWait = 500 * time.Millisecond
+)
+
+// pace bounds the processor time that the callers of a listener take: those beyond the rates wait in the order of their
+// arrival, so that one connection can't take more than others. A nil pace doesn't bound anything. It is safe for
+// concurrent use.
+type pace struct {
+	accepts, requests, bodies *rate.Limiter
+}
+
+// newPace returns the pace of a listener that may use a number of processors, or nil if that is zero.
+func newPace(processors float64) *pace {
+	if processors <= 0 {
+		return nil
+	}
+	return &pace{
+		accepts:  newLimiter(processors*acceptsPerProcessor, minPerSecond),
+		requests: newLimiter(processors*requestsPerProcessor, minPerSecond),
+		bodies:   newLimiter(processors*bodyBytesPerProcessor, minBodyBytesPerSecond),
+	}
+}
+
+func newLimiter(perSecond, smallest float64) *rate.Limiter {
+	perSecond = max(perSecond, smallest)
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond*burstTime.Seconds()))
+}
+
+// awaitAccept waits until the next connection may be accepted.
+func (p *pace) awaitAccept() {
+	if p != nil {
+		time.Sleep(p.accepts.Reserve().Delay())
+	}
+}
+
+// awaitRequest waits until the next request may be read.
+func (p *pace) awaitRequest() {
+	if p != nil {
+		time.Sleep(p.requests.Reserve().Delay())
+	}
+}
+
+// awaitBody waits until a body of the length may be read. It returns ErrBusy at once if that would take too long.
+func (p *pace) awaitBody(length int) error {
+	if p == nil || length <= smallBodyBytes {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
+	defer cancel()
+	if p.bodies.WaitN(ctx, min(length, p.bodies.Burst())) != nil {
+		return ErrBusy
+	}
+	return nil
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -107,8 +107,17 @@
 		return nil
 	}
 	var body []byte
-	var err error
-	if announced := request.Request.Header.ContentLength(); announced >= 0 {
+	announced := request.Request.Header.ContentLength()
+	// A body of unknown length may be as long as the limit.
+	length := announced
+	if announced < 0 {
+		length = limit
+	}
+	err := l.pace.awaitBody(min(length, limit))
+	if err != nil {
+		return err
+	}
+	if announced >= 0 {
 		body, _, err = account.ReadAnnounced(stream, announced, limit)
 	} else {
 		body, _, err = account.Read(stream, limit)
@@ -140,6 +149,9 @@
 	case errors.Is(err, ErrTooLong):
 		l.meter.refuse(reasonBody)
 		request.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+	case errors.Is(err, ErrBusy):
+		l.meter.refuse(reasonBusy)
+		fallthrough
 	case errors.Is(err, ErrNoMemory):
 		request.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfterSeconds))
