--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -68,8 +68,10 @@
 	monitor := gateway.NewStoreMonitor(p.logger)
 	limit := backlog.DeriveLimit(p.settings.MemoryBytes)
 	admission := backlog.NewAdmission(limit)
+	token := &link.Token{}
 	e.relay = relay.New(relay.Config{
 		Name: p.settings.Name, Address: p.settings.LinkAddress, Strength: p.settings.Processors, Backlog: limit,
+		Token: token,
 		Store: store.Observe(e.client, source.Prefix(), monitor), Dialer: dialer, Logger: p.logger,
 	})
 	e.coordinator = coordinator.New(coordinator.Config{
@@ -83,6 +85,7 @@
 		KeepPressures: options.KeepPressures, Now: bootclock.Now, Logger: p.logger,
 	})
 	e.peer = gateway.NewPeer(p.settings.LinkAddress, e.coordinator, e.relay, dialer, p.logger)
+	e.peer.Authenticate(token)
 	e.peer.ShareSuspicions(monitor)
 	e.handler = platform.NewClientHandler(gateway.New(gateway.Config{
 		Store: e.relay, View: e.view, Coordinator: e.peer, Admission: admission, Monitor: monitor, Logger: p.logger,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,7 +16,9 @@
 	refusedUnwritten = metrics.NewCounter("clementine_submissions_refused_unwritten_total")
 	// refusedWithoutRoom counts the submissions and cancellations refused because the coordinator has no room for them.
 	refusedWithoutRoom = metrics.NewCounter("clementine_refused_without_room_total")
-	unknownOutcomes    = metrics.NewCounter("clementine_submissions_unknown_total")
+	// untrustedMessages counts store calls, notices and hints of peers that have not sent the token of the entries.
+	untrustedMessages = metrics.NewCounter("clementine_untrusted_messages_total")
+	unknownOutcomes   = metrics.NewCounter("clementine_submissions_unknown_total")
 )
 
 func newSuspicionCounters() [suspicionReasonCount]*metrics.Counter {
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -54,6 +54,8 @@
 	// monitor holds the suspicion of the store that entries share, or is nil. served holds the links of other entries.
 	monitor *StoreMonitor
 	served  map[link.Conn]struct{}
+	// token is the secret that the entries share. It is set before Run and Serve.
+	token *link.Token
 }
 
 // NewPeer returns the peer of this entry, which accepts links at the address. Run opens its link to the
@@ -117,7 +119,7 @@
 	ticker := time.NewTicker(peerPingInterval)
 	defer ticker.Stop()
 	for {
-		if conn.Send(&wire.PeerPing{}) != nil {
+		if conn.Send(&wire.PeerPing{Token: p.token.Secret()}) != nil {
 			return
 		}
 		select {
@@ -253,31 +255,6 @@
 	}
 }
 
-// Serve handles the calls, notifications and queries of another entry on one link until the link ends.
-func (p *Peer) Serve(ctx context.Context, conn link.Conn) {
-	defer p.removeServed(conn)
-	for {
-		message, err := conn.Receive()
-		if err != nil {
-			return
-		}
-		if call, ok := message.(*wire.StoreCall); ok {
-			p.stores.Serve(ctx, conn, call)
-			continue
-		}
-		if notice, ok := message.(*wire.InputNotice); ok {
-			p.local.NotifyStored(notice.Key, notice.Value)
-			continue
-		}
-		if ping, ok := message.(*wire.PeerPing); ok && p.servePing(conn, ping) {
-			continue
-		}
-		if err := conn.Send(p.answerQuery(ctx, message)); err != nil {
-			return
-		}
-	}
-}
-
 // answerQuery returns the reply to a query of another entry. Other messages are echoed unchanged.
 func (p *Peer) answerQuery(ctx context.Context, message wire.Message) wire.Message {
 	call, cancel := context.WithTimeout(ctx, queryTimeout)
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -26,6 +26,7 @@
 type peer struct {
 	address string
 	conn    link.Conn
+	token   *link.Token
 
 	mu           sync.Mutex
 	lastSequence uint64
@@ -33,10 +34,17 @@
 	pending      map[uint64]chan *wire.StoreReply
 }
 
-func newPeer(address string, conn link.Conn) *peer {
-	return &peer{address: address, conn: conn, usedAt: time.Now(), pending: map[uint64]chan *wire.StoreReply{}}
+// newPeer returns a peer on a new link. Its first message is a ping: that one has to be short, a call may be long, and the
+// other entry makes no call before it has the token.
+func newPeer(address string, conn link.Conn, token *link.Token) *peer {
+	p := &peer{address: address, conn: conn, token: token, usedAt: time.Now(), pending: map[uint64]chan *wire.StoreReply{}}
+	// If the ping is not sent, the link has ended, and the calls fail as well.
+	_ = p.sendPing()
+	return p
 }
 
+func (p *peer) sendPing() error { return p.conn.Send(&wire.PeerPing{Token: p.token.Secret()}) }
+
 // run delivers replies until the link ends, and keeps the link alive while it is used.
 func (p *peer) run() {
 	go p.sendPings()
@@ -73,7 +81,7 @@
 		p.mu.Lock()
 		idle := time.Since(p.usedAt) > idleTime
 		p.mu.Unlock()
-		if idle || p.conn.Send(&wire.PeerPing{}) != nil {
+		if idle || p.sendPing() != nil {
 			p.close()
 			return
 		}
@@ -179,10 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// The first message on a link has to be a short one, and a call may be long. If the ping is not sent, the link has
-	// ended, and the call fails as well.
-	_ = conn.Send(&wire.PeerPing{})
-	fresh := newPeer(address, conn)
+	fresh := newPeer(address, conn, r.config.Token)
 	r.mu.Lock()
 	former := r.peer
 	r.peer = fresh
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,9 +25,11 @@
 	Strength float64
 	// Backlog is the memory that this entry has for stored jobs as the coordinator. It is published as well.
 	Backlog backlog.Limit
-	Store   store.Service
-	Dialer  link.Dialer
-	Logger  *log.Logger
+	// Token is the secret that the entries share. If it is not nil, Run reads it from the store.
+	Token  *link.Token
+	Store  store.Service
+	Dialer link.Dialer
+	Logger *log.Logger
 }
 
 // Relay is a store that makes its calls through another entry while this entry's own path is lost. Calls that
@@ -65,6 +67,7 @@
 // Run keeps this entry's record in the store and watches those of the others until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	var group conc.WaitGroup
+	group.Go(func() { contain.RunWithRestart(ctx, r.config.Logger, "read token", r.loadToken) })
 	group.Go(func() { contain.RunWithRestart(ctx, r.config.Logger, "register", r.register) })
 	mirror := store.NewMirror(store.MirrorConfig{
 		Feed: r.config.Store, Prefix: recordPrefix, Wait: directoryWait, Logger: r.config.Logger,
--- a/internal/relay/stronger.go
+++ b/internal/relay/stronger.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return false
 	}
-	p := newPeer(address, conn)
+	p := newPeer(address, conn, r.config.Token)
 	defer p.close()
 	go p.run()
 	reply, err := p.sendCall(ctx, 0, &wire.StoreCall{Operation: wire.StoreGet, Key: recordPrefix + r.config.Name})
--- a/internal/wire/jobmsg.go
+++ b/internal/wire/jobmsg.go
@@ -294,6 +294,9 @@
 	// StoreSuspect is a hint that the sender, or the entry that told it, has reason to doubt that the store answers. Earlier
 	// versions ignore it.
 	StoreSuspect bool `cbor:"2,keyasint,omitempty"`
+	// Token is the secret that the entries share. A peer that has not sent it may only ask questions. Earlier versions don't
+	// send it.
+	Token string `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/test/jobs/processes_test.go
+++ b/test/jobs/processes_test.go
@@ -51,8 +51,9 @@
 	view := operatorconfig.NewView(testSource{}, zones, r.logger)
 	dialer := r.network.dialer(e.name)
 	monitor := gateway.NewStoreMonitor(r.logger)
+	token := &link.Token{}
 	e.relay = relay.New(relay.Config{
-		Name: e.name, Address: e.name, Strength: e.strength(), Backlog: r.backlog, Dialer: dialer, Logger: r.logger.With("entry", e.name),
+		Name: e.name, Address: e.name, Strength: e.strength(), Backlog: r.backlog, Token: token, Dialer: dialer, Logger: r.logger.With("entry", e.name),
 		Store: store.Observe(e.faulty, testSource{}.Prefix(), monitor),
 	})
 	admission := backlog.NewAdmission(r.backlog)
@@ -63,6 +64,7 @@
 		Timing: planner.Timing{Authority: authority, Margin: authorityMargin, StatusPeriod: time.Hour},
 	})
 	peer := gateway.NewPeer(e.name, e.local, e.relay, dialer, r.logger)
+	peer.Authenticate(token)
 	peer.ShareSuspicions(monitor)
 	e.gateway = gateway.New(gateway.Config{
 		Store: e.relay, View: view, Coordinator: peer, Admission: admission, Monitor: monitor, Logger: r.logger,
