--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -53,7 +53,9 @@
 		is.NoErr(err)
 		return reply
 	}
-	call := func() wire.StoreOutcome { return ask(&wire.StoreCall{Operation: wire.StoreList}).(*wire.StoreReply).Outcome }
+	call := func() wire.StoreOutcome {
+		return ask(&wire.StoreCall{Operation: wire.StoreList}).(*wire.StoreReply).Outcome
+	}
 	notify := func() { is.NoErr(near.Send(&wire.InputNotice{Key: "in/job/a"})) }
 
 	ask(&wire.PeerPing{}) // the token is not known yet
