--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// awaitNext records that the connection waits for its next request, so that it can be closed in favor of another one.
+func (c *conn) awaitNext() {
+	if c.account != nil && !c.closed.Load() {
+		c.listener.waiting.add(c, nil)
+	}
+}
+
 // Close implements net.Conn. It releases the reservations.
 func (c *conn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/internal/ingress/pace_test.go
+++ b/internal/ingress/pace_test.go
@@ -123,3 +123,21 @@
 	is.NoErr(conns[0].Close())
 	is.Equal(<-status, fasthttp.StatusOK)
 }
+
+// TestIdleConnectionMakesRoom guards against callers that keep connections open after a response and thus keep others out.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	is := is.New(t)
+	inner, listener := newTestListener(Limits{Bytes: 64 << 20})
+	respond := make(chan struct{})
+	close(respond)
+	serveUntil(listener, respond)
+	for range minListenerConns {
+		conn, err := inner.Dial()
+		is.NoErr(err)
+		is.Equal(<-request(conn), fasthttp.StatusOK)
+	}
+	time.Sleep(evictionAge + shortTime)
+	last, err := inner.Dial()
+	is.NoErr(err)
+	is.Equal(<-request(last), fasthttp.StatusOK)
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -80,6 +80,7 @@
 		}
 	case fasthttp.StateIdle:
 		accepted.deactivate()
+		accepted.awaitNext()
 	}
 }
 
--- a/internal/ingress/waiting.go
+++ b/internal/ingress/waiting.go
@@ -11,8 +11,9 @@
 // one. A body of 256 KiB takes 210 ms at 10 Mbit/s.
 const evictionAge = 500 * time.Millisecond
 
-// waitingConns holds the connections of a listener that have not sent a complete request yet, oldest first. Without
-// it, a flood of connections that send headers without an end keeps other callers out until its deadlines.
+// waitingConns holds the connections of a listener that have not sent a complete request yet, or not the next one, oldest
+// first. Without it, a flood of connections that send headers without an end, or nothing, keeps other callers out until its
+// deadlines.
 type waitingConns struct {
 	mu    sync.Mutex
 	order list.List
@@ -70,8 +71,8 @@
 	return c
 }
 
-// evictOldest closes the connection whose request is incomplete for the longest time. It answers with 503, since the
-// request has not run. It returns false if there is no such connection.
+// evictOldest closes the connection whose request is incomplete for the longest time. It answers with 503 if the request has
+// begun, since it has not run. It returns false if there is no such connection.
 func (l *Listener) evictOldest() bool {
 	c := l.waiting.takeOldest()
 	if c == nil {
