--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -51,7 +51,7 @@
 	limiter := callLimiter{listener: listener}
 	return []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxCallsPerConn),
-		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ForceServerCodecV2(newBoundedCodec()), grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(handshakeTimeout),
 		// Without them, gRPC enlarges the windows with the throughput of a connection.
 		grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(windowBytes),
 		grpc.InTapHandle(limiter.admit), grpc.StatsHandler(limiter),
--- a/test/process/flood_test.go
+++ b/test/process/flood_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
 
 	"golang.org/x/net/http2"
@@ -28,6 +30,13 @@
 // testFlood runs a flood on an entry and checks its limits, and that ordinary requests of a caller, an agent and an
 // operator are answered afterwards.
 func testFlood(t *testing.T, f flood.Flood, address func(*entryNode) string) {
+	c := newFloodCluster(t)
+	e := c.entries[0]
+	c.checkLimits(f.Run(address(e), e.command.Process.Pid))
+}
+
+// newFloodCluster starts an entry with limits and a worker.
+func newFloodCluster(t *testing.T) *cluster {
 	c := newCluster(t)
 	if !*withoutLimits {
 		c.limits = fmt.Sprintf("limits: {memory: %dMiB, openFiles: %d}\n", floodMemoryMiB, floodOpenFiles)
@@ -37,10 +46,14 @@
 	c.configure()
 	c.waitLive(1)
 	c.waitAnswered()
-	e := c.entries[0]
-	pid := e.command.Process.Pid
-	files := f.Run(address(e), pid)
-	memory, err := flood.PeakMemory(pid)
+	return c
+}
+
+// checkLimits checks that the entry has stayed within its limits, with the largest number of its descriptors, and that ordinary
+// requests are answered.
+func (c *cluster) checkLimits(files int) {
+	t := c.t
+	memory, err := flood.PeakMemory(c.entries[0].command.Process.Pid)
 	if err != nil {
 		t.Fatalf("the entry is gone: %s", err)
 	}
@@ -97,6 +110,38 @@
 	t.Run("messages", func(t *testing.T) { testFlood(t, messageFlood(t), operatorsOf) })
 }
 
+// Calls of operators with messages that are many times as large once they are decoded.
+const (
+	emptyMessages      = 500_000
+	emptyMessageCalls  = 16
+	emptyMessageCaller = 4
+)
+
+// TestFloodOfEmptyMessages guards against an entry that holds operators' messages of very many empty messages: each has two
+// bytes, and some hundred once it is decoded.
+func TestFloodOfEmptyMessages(t *testing.T) {
+	c := newFloodCluster(t)
+	request := &operatorv1.ApplyConfigurationRequest{RequestId: "r", Configuration: &operatorv1.Configuration{}}
+	for range emptyMessages {
+		request.Configuration.Services = append(request.Configuration.Services, &operatorv1.Service{})
+	}
+	var callers sync.WaitGroup
+	for range emptyMessageCaller {
+		callers.Go(func() {
+			for range emptyMessageCalls {
+				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+				_, err := c.entries[0].client.ApplyConfiguration(ctx, request)
+				cancel()
+				if err == nil {
+					t.Error("a configuration of unnamed services was accepted")
+				}
+			}
+		})
+	}
+	callers.Wait()
+	c.checkLimits(0)
+}
+
 // messageFlood returns a flood of calls whose messages of 1 MiB stay incomplete. What is sent of each of them fits in
 // the window of its stream.
 func messageFlood(t *testing.T) flood.Flood {
