--- a/cmd/clementined/platform_entry.go
+++ b/cmd/clementined/platform_entry.go
@@ -89,6 +89,7 @@
 	e.peer.ShareSuspicions(monitor)
 	e.handler = platform.NewClientHandler(gateway.New(gateway.Config{
 		Store: e.relay, View: e.view, Coordinator: e.peer, Admission: admission, Monitor: monitor, Logger: p.logger,
+		StoreRates: gateway.StoreRates{Writes: p.settings.StoreWrites, Reads: p.settings.StoreReads}, Entries: e.relay.Entries,
 	}), p.logger)
 	return e
 }
--- /dev/null
+++ b/internal/gateway/callbudget_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestCallBudgetIsShared guards against entries that together use up the calls of the store for callers, against a budget that
+// keeps its size when entries come, and against one that never fills again.
+func TestCallBudgetIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		entries := 1
+		b := newCallBudget(StoreRates{Writes: 400, Reads: 2000}, func() int { return entries })
+		is.Equal(allowed(b.allowWrite), 400) // half of the rate for two seconds
+		time.Sleep(time.Second)
+		is.Equal(allowed(b.allowWrite), 200)
+		entries = 4
+		is.Equal(allowed(b.allowWrite), 100)
+		is.Equal(allowed(func() bool { return b.allowReads(stateReads) }), 250)
+		time.Sleep(time.Second)
+		is.Equal(allowed(b.allowWrite), 50)
+	})
+}
+
+// allowed returns how often allow returns true before it returns false.
+func allowed(allow func() bool) int {
+	count := 0
+	for allow() {
+		count++
+	}
+	return count
+}
+
+// TestNoRatesNoBudget guards against requests that are refused where the rates of the store are not known.
+func TestNoRatesNoBudget(t *testing.T) {
+	is := is.New(t)
+	b := newCallBudget(StoreRates{}, func() int { return 1 })
+	is.True(b.allowWrite())
+	is.True(b.allowReads(1000))
+}
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -11,10 +11,14 @@
 )
 
 // Cancel stores the cancellation of a job. The outcome is Accepted, NoJob, Unknown, or Refused if there is no job and no room
-// for its cancellation. The cancellation is also stored if
+// for its cancellation, or if callers have caused too many calls to the store. The cancellation is also stored if
 // there is no job: a write of its submission may still take effect, or the submission may arrive again at another entry.
 // The coordinator then cancels the job when it finds it.
 func (g *Gateway) Cancel(ctx context.Context, id string) Reply {
+	if !g.calls.allowWrite() {
+		refusedCalls.Inc()
+		return g.refuse(id, Refused, errTooManyCalls.Error())
+	}
 	_, err := g.storedState(ctx, id)
 	known := !errors.Is(err, store.ErrNotFound)
 	if err != nil && known {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,10 @@
 	Coordinator Coordinator
 	// Admission bounds what may be stored. It may be nil.
 	Admission *backlog.Admission
+	// StoreRates bounds the calls to the store that callers cause, shared by the number of entries that Entries returns.
+	// Without either there is no bound.
+	StoreRates StoreRates
+	Entries    func() int
 	// Monitor also observes the calls of other components, if it is not nil.
 	Monitor *StoreMonitor
 	Logger  *log.Logger
@@ -74,6 +78,7 @@
 type Gateway struct {
 	config    Config
 	refusals  *telemetry.RefusalLogger
+	calls     *callBudget
 	unsettled *unsettled
 	outage    *outage
 	reads     sharedReads
@@ -87,7 +92,10 @@
 		config.Monitor = NewStoreMonitor(config.Logger)
 	}
 	config.Store = store.Observe(config.Store, "", config.Monitor)
-	g := &Gateway{config: config, refusals: telemetry.NewRefusalLogger(config.Logger), unsettled: newUnsettled(), outage: &outage{}}
+	g := &Gateway{
+		config: config, refusals: telemetry.NewRefusalLogger(config.Logger),
+		calls: newCallBudget(config.StoreRates, config.Entries), unsettled: newUnsettled(), outage: &outage{},
+	}
 	confirm := g.confirmSuspicion
 	config.Monitor.confirm.Store(&confirm)
 	return g
@@ -97,8 +105,8 @@
 func (g *Gateway) Ready() bool { return g.config.View.Snapshot().Config != nil }
 
 // Route returns the queue for the host and path and the snapshot it was found in. Before it returns ErrNotFound,
-// it refreshes a view older than maxNegativeAge. It returns ErrUnavailable before the first configuration, and if the refresh
-// takes longer than maxRefreshWait.
+// it refreshes a view older than maxNegativeAge. It returns ErrUnavailable before the first configuration, if the refresh
+// takes longer than maxRefreshWait, and if callers have caused too many calls to the store.
 func (g *Gateway) Route(ctx context.Context, host, path string) (*operatorconfig.Queue, operatorconfig.Snapshot, error) {
 	snapshot := g.config.View.Snapshot()
 	if snapshot.Config == nil {
@@ -108,6 +116,9 @@
 		return queue, snapshot, nil
 	}
 	if time.Since(g.config.View.Confirmed()) > maxNegativeAge {
+		if !g.calls.allowReads(refreshReads) {
+			return nil, snapshot, g.refuseCall()
+		}
 		if err := g.awaitRefresh(ctx, snapshot); err != nil {
 			return nil, snapshot, err
 		}
@@ -162,7 +173,7 @@
 }
 
 // State returns the state of a job, or ErrNotFound. It reads the store if the coordinator does not answer or has
-// not loaded the job.
+// not loaded the job. It returns ErrUnavailable if callers have caused too many calls to the store.
 func (g *Gateway) State(ctx context.Context, id string) (job.State, error) {
 	call, cancel := context.WithTimeout(ctx, queryTimeout)
 	state, known, err := g.config.Coordinator.State(call, id)
@@ -170,6 +181,9 @@
 	if err == nil && known {
 		return state, nil
 	}
+	if !g.calls.allowReads(stateReads) {
+		return 0, g.refuseCall()
+	}
 	return g.storedState(ctx, id)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,8 @@
 	refusedUnwritten = metrics.NewCounter("clementine_submissions_refused_unwritten_total")
 	// refusedWithoutRoom counts the submissions and cancellations refused because the coordinator has no room for them.
 	refusedWithoutRoom = metrics.NewCounter("clementine_refused_without_room_total")
+	// refusedCalls counts the requests refused because callers have caused too many calls to the store.
+	refusedCalls = metrics.NewCounter("clementine_refused_store_calls_total")
 	// untrustedMessages counts store calls, notices and hints of peers that have not sent the token of the entries.
 	untrustedMessages = metrics.NewCounter("clementine_untrusted_messages_total")
 	unknownOutcomes   = metrics.NewCounter("clementine_submissions_unknown_total")
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -47,6 +47,9 @@
 	case err != nil:
 		return g.refuse(spec.ID, Invalid, err.Error())
 	}
+	if !g.calls.allowWrite() {
+		return g.refuseUnlessStored(ctx, spec.ID, errTooManyCalls)
+	}
 	if err := g.checkStore(ctx); err != nil {
 		return g.refuseInOutage(spec.ID, err)
 	}
@@ -134,7 +137,7 @@
 		return g.refuse(spec.ID, Refused, "queues with placement advice are not supported"), nil
 	}
 	if !g.config.Admission.AdmitJob(queue.Name, backlog.JobBytes(spec)) {
-		return g.refuseWithoutRoom(ctx, spec.ID), nil
+		return g.refuseUnlessStored(ctx, spec.ID, errNoRoom), nil
 	}
 	spec.Queue, spec.Service, spec.MaxAttempts = queue.Name, queue.Service, queue.AttemptLimit()
 	spec.AcceptedAt = time.Now().UTC()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -88,6 +88,9 @@
 	return d.selectLocked(func(record) bool { return true })
 }
 
+// count returns the number of entries, this one included.
+func (d *directory) count() int { return len(d.others()) + 1 }
+
 // strongerThan returns the sorted addresses of the other entries with a higher strength.
 func (d *directory) strongerThan(strength float64) []string {
 	d.mu.Lock()
--- a/internal/relay/stronger.go
+++ b/internal/relay/stronger.go
@@ -10,6 +10,9 @@
 // MaxStrength returns the highest strength among the other registered entries, or 0 if there are none.
 func (r *Relay) MaxStrength() float64 { return r.directory.maxStrength() }
 
+// Entries returns the number of registered entries, this one included.
+func (r *Relay) Entries() int { return r.directory.count() }
+
 // MinBacklog returns the smallest limit of stored jobs among the other registered entries, or 0 if none has one.
 func (r *Relay) MinBacklog() backlog.Limit { return r.directory.minBacklog() }
 
