--- a/internal/coordinator/backlog.go
+++ b/internal/coordinator/backlog.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"clementineflow/internal/backlog"
 	"clementineflow/internal/store"
 )
@@ -83,7 +81,7 @@
 	}
 	state, err := backlog.DecodeState(change.Value)
 	if err != nil {
-		store.ReportMalformed(c.config.Logger, "backlog", change.Key, errors.WithStack(err))
+		store.ReportMalformed(c.config.Logger, "backlog", change.Key, err)
 		return
 	}
 	c.config.Admission.SetState(state)
