--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,16 +5,13 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"clementineflow/internal/backlog"
-	"clementineflow/internal/coordinator"
 	"clementineflow/internal/job"
 	"clementineflow/internal/operatorconfig"
 	"clementineflow/internal/store"
 	"clementineflow/internal/telemetry"
-	"clementineflow/internal/wait"
 )
 
 // Timing of a caller's requests.
@@ -103,128 +100,3 @@
 
 // Ready reports whether the entry has received a configuration.
 func (g *Gateway) Ready() bool { return g.config.View.Snapshot().Config != nil }
-
-// Route returns the queue for the host and path and the snapshot it was found in. Before it returns ErrNotFound,
-// it refreshes a view older than maxNegativeAge. It returns ErrUnavailable before the first configuration, if the refresh
-// takes longer than maxRefreshWait, and if callers have caused too many calls to the store.
-func (g *Gateway) Route(ctx context.Context, host, path string) (*operatorconfig.Queue, operatorconfig.Snapshot, error) {
-	snapshot := g.config.View.Snapshot()
-	if snapshot.Config == nil {
-		return nil, snapshot, store.ErrUnavailable
-	}
-	if queue, ok := snapshot.Config.Route(host, path); ok {
-		return queue, snapshot, nil
-	}
-	if time.Since(g.config.View.Confirmed()) > maxNegativeAge {
-		if !g.calls.allowReads(refreshReads) {
-			return nil, snapshot, g.refuseCall()
-		}
-		if err := g.awaitRefresh(ctx, snapshot); err != nil {
-			return nil, snapshot, err
-		}
-		snapshot = g.config.View.Snapshot()
-	}
-	if queue, ok := snapshot.Config.Route(host, path); ok {
-		return queue, snapshot, nil
-	}
-	return nil, snapshot, store.ErrNotFound
-}
-
-// awaitRefresh refreshes the view in the background and waits for that for at most maxRefreshWait.
-func (g *Gateway) awaitRefresh(ctx context.Context, snapshot operatorconfig.Snapshot) error {
-	done := make(chan error, 1)
-	g.goBackground("refresh of the configuration", func() {
-		err := errNoAnswer // the result if the call panics
-		defer func() { done <- err }()
-		err = g.refreshView(context.WithoutCancel(ctx), snapshot)
-	})
-	timer := time.NewTimer(maxRefreshWait)
-	defer timer.Stop()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "gateway: refresh of the configuration")
-	case <-timer.C:
-		return store.ErrUnavailable
-	}
-}
-
-// refreshView fetches the changes of the configuration since the snapshot and applies them to the view.
-func (g *Gateway) refreshView(ctx context.Context, snapshot operatorconfig.Snapshot) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sent := time.Now()
-	key := g.config.View.Conditions(snapshot, false)[0].Key
-	changes, err := g.config.Store.Changes(call, key, snapshot.Revision, 0)
-	if errors.Is(err, store.ErrCompacted) {
-		item, err := g.config.Store.Get(call, key)
-		if err != nil {
-			return err
-		}
-		g.config.View.Apply([]store.Event{{KeyValue: item}}, sent)
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	g.config.View.Apply(changes.Events, sent)
-	return nil
-}
-
-// State returns the state of a job, or ErrNotFound. It reads the store if the coordinator does not answer or has
-// not loaded the job. It returns ErrUnavailable if callers have caused too many calls to the store.
-func (g *Gateway) State(ctx context.Context, id string) (job.State, error) {
-	call, cancel := context.WithTimeout(ctx, queryTimeout)
-	state, known, err := g.config.Coordinator.State(call, id)
-	cancel()
-	if err == nil && known {
-		return state, nil
-	}
-	if !g.calls.allowReads(stateReads) {
-		return 0, g.refuseCall()
-	}
-	return g.storedState(ctx, id)
-}
-
-// storedState reads the state of a job from the store, with retries until shortly before the deadline.
-func (g *Gateway) storedState(ctx context.Context, id string) (job.State, error) {
-	for {
-		state, err := g.readStoredState(ctx, id)
-		if err == nil || errors.Is(err, store.ErrNotFound) {
-			return state, err
-		}
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < replyMargin+retryDelay {
-			return 0, err
-		}
-		if !wait.Sleep(ctx, retryDelay) {
-			return 0, err
-		}
-	}
-}
-
-// readStoredState makes one attempt to read the state of a job from the store.
-func (g *Gateway) readStoredState(ctx context.Context, id string) (job.State, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	item, err := g.config.Store.Get(call, coordinator.ProgressKey(id))
-	if err == nil {
-		progress, err := job.DecodeProgress(item.Value)
-		if err != nil {
-			return 0, err
-		}
-		return progress.State, nil
-	}
-	if !errors.Is(err, store.ErrNotFound) {
-		return 0, err
-	}
-	if _, err := g.config.Store.Get(call, coordinator.JobKey(id)); err != nil {
-		return 0, err
-	}
-	return job.StateQueued, nil
-}
-
-// Waiting returns the number of jobs in the queue with no started task, as known to the coordinator.
-func (g *Gateway) Waiting(ctx context.Context, queue string) (int, error) {
-	return g.config.Coordinator.Waiting(ctx, queue)
-}
