--- a/internal/planner/usage.go
+++ b/internal/planner/usage.go
@@ -53,6 +53,9 @@
 // releaseFinished releases the tasks of ended jobs. Their state stays readable until they are removed.
 func (p *Planner) releaseFinished() {
 	p.finished = slices.DeleteFunc(p.finished, func(e *entry) bool {
+		if p.jobs[e.spec.ID] != e {
+			return true // removed meanwhile
+		}
 		if e.dirty || e.inFlight || e.assigned > 0 {
 			return false
 		}
