--- a/internal/gateway/callbudget.go
+++ b/internal/gateway/callbudget.go
@@ -17,6 +17,13 @@
 	// callerShare is the part of the store's calls that callers' requests may cause at all entries together. The rest is
 	// left for leases, watches, and what the coordinator records.
 	callerShare = 0.5
+	// queueShare is the part of an entry's writes that the submissions to one queue, or the cancellations, may take, so that
+	// those to other queues find some left.
+	queueShare = 0.5
+	// cancellations is the name of the writes of cancellations beside those of the queues.
+	cancellations = "cancellations"
+	// maxQueueLimiters bounds the queues whose writes are counted. Queues that the operator has removed are forgotten with it.
+	maxQueueLimiters = 1024
 	// callBurstSeconds is the time for whose share of the rates calls may come at once.
 	callBurstSeconds = 2
 	// stateReads is the number of reads that look for the state of a job, and refreshReads that of a refresh of the
@@ -38,6 +45,8 @@
 	mu            sync.Mutex
 	sharedBy      int
 	writes, reads *rate.Limiter
+	// queues holds the limiters of the writes of each queue.
+	queues map[string]*rate.Limiter
 }
 
 // newCallBudget returns a budget for one of a number of entries, or nil without rates.
@@ -48,13 +57,15 @@
 	return &callBudget{rates: rates, entries: entries}
 }
 
-// allowWrite takes a write from the budget, and reports whether there was one left.
-func (b *callBudget) allowWrite() bool {
+// allowWrite takes a write for a queue, or for cancellations, from the budget, and reports whether there was one left.
+func (b *callBudget) allowWrite(queue string) bool {
 	if b == nil {
 		return true
 	}
-	writes, _ := b.limiters()
-	return writes.Allow()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.followEntriesLocked()
+	return b.queueLocked(queue).Allow() && b.writes.Allow()
 }
 
 // allowReads takes a number of reads from the budget, and reports whether so many were left.
@@ -62,21 +73,35 @@
 	if b == nil {
 		return true
 	}
-	_, reads := b.limiters()
-	return reads.AllowN(time.Now(), count)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.followEntriesLocked()
+	return b.reads.AllowN(time.Now(), count)
 }
 
-// limiters returns the limiters of writes and reads for the present number of entries.
-func (b *callBudget) limiters() (writes, reads *rate.Limiter) {
+// followEntriesLocked sets the limits for the present number of entries.
+func (b *callBudget) followEntriesLocked() {
 	sharedBy := max(1, b.entries())
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.sharedBy != sharedBy {
-		b.sharedBy = sharedBy
-		b.writes = newCallLimiter(b.rates.Writes, sharedBy)
-		b.reads = newCallLimiter(b.rates.Reads, sharedBy)
+	if b.sharedBy == sharedBy {
+		return
+	}
+	b.sharedBy = sharedBy
+	b.writes = newCallLimiter(b.rates.Writes, sharedBy)
+	b.reads = newCallLimiter(b.rates.Reads, sharedBy)
+	b.queues = map[string]*rate.Limiter{}
+}
+
+// queueLocked returns the limiter of the writes of a queue.
+func (b *callBudget) queueLocked(queue string) *rate.Limiter {
+	if limiter := b.queues[queue]; limiter != nil {
+		return limiter
+	}
+	if len(b.queues) >= maxQueueLimiters {
+		clear(b.queues)
 	}
-	return b.writes, b.reads
+	limiter := newCallLimiter(b.rates.Writes*queueShare, b.sharedBy)
+	b.queues[queue] = limiter
+	return limiter
 }
 
 // newCallLimiter returns the limiter of one entry for a rate of the store.
--- a/internal/gateway/callbudget_test.go
+++ b/internal/gateway/callbudget_test.go
@@ -8,21 +8,25 @@
 	"github.com/matryer/is"
 )
 
-// TestCallBudgetIsShared guards against entries that together use up the calls of the store for callers, against a budget that
-// keeps its size when entries come, and against one that never fills again.
+// TestCallBudgetIsShared guards against entries that together use up the calls of the store for callers, against a queue that
+// takes those of all others, against a budget that keeps its size when entries come, and against one that never fills again.
 func TestCallBudgetIsShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		entries := 1
 		b := newCallBudget(StoreRates{Writes: 400, Reads: 2000}, func() int { return entries })
-		is.Equal(allowed(b.allowWrite), 400) // half of the rate for two seconds
+		crowd, ordinary := func() bool { return b.allowWrite("crowd") }, func() bool { return b.allowWrite("ordinary") }
+		// Half of the rate for two seconds, of which one queue may take a half.
+		is.Equal(allowed(crowd), 200)
+		is.Equal(allowed(ordinary), 200)
 		time.Sleep(time.Second)
-		is.Equal(allowed(b.allowWrite), 200)
+		is.Equal(allowed(crowd), 100)
 		entries = 4
-		is.Equal(allowed(b.allowWrite), 100)
+		is.Equal(allowed(crowd), 50)
 		is.Equal(allowed(func() bool { return b.allowReads(stateReads) }), 250)
 		time.Sleep(time.Second)
-		is.Equal(allowed(b.allowWrite), 50)
+		is.Equal(allowed(crowd), 25)
+		is.True(b.allowWrite(cancellations))
 	})
 }
 
@@ -39,6 +43,6 @@
 func TestNoRatesNoBudget(t *testing.T) {
 	is := is.New(t)
 	b := newCallBudget(StoreRates{}, func() int { return 1 })
-	is.True(b.allowWrite())
+	is.True(b.allowWrite("ordinary"))
 	is.True(b.allowReads(1000))
 }
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -47,9 +47,6 @@
 	case err != nil:
 		return g.refuse(spec.ID, Invalid, err.Error())
 	}
-	if !g.calls.allowWrite() {
-		return g.refuseUnlessStored(ctx, spec.ID, errTooManyCalls)
-	}
 	if err := g.checkStore(ctx); err != nil {
 		return g.refuseInOutage(spec.ID, err)
 	}
@@ -136,6 +133,9 @@
 	if queue.NeedsPlacementAdvice {
 		return g.refuse(spec.ID, Refused, "queues with placement advice are not supported"), nil
 	}
+	if !g.calls.allowWrite(queue.Name) {
+		return g.refuseUnlessStored(ctx, spec.ID, errTooManyCalls), nil
+	}
 	if !g.config.Admission.AdmitJob(queue.Name, backlog.JobBytes(spec)) {
 		return g.refuseUnlessStored(ctx, spec.ID, errNoRoom), nil
 	}
