--- a/internal/gateway/room.go
+++ b/internal/gateway/refusal.go
@@ -11,6 +11,12 @@
 // errNoRoom reports a submission or a cancellation that the coordinator has no room for.
 var errNoRoom = errors.New("gateway: no room for more stored jobs")
 
+// refuse logs and returns a reply with an outcome other than Accepted.
+func (g *Gateway) refuse(id string, outcome Outcome, reason string) Reply {
+	g.refusals.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
+	return Reply{Outcome: outcome, RetryAfter: retryAfter, Reason: reason}
+}
+
 // refuseUnlessStored returns the reply for a job that is refused before it is stored. It may be stored from an earlier
 // submission of the same ID, which the coordinator knows: it keeps all stored jobs. Without its answer, the reply promises
 // nothing.
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -115,12 +115,6 @@
 	return reply
 }
 
-// refuse logs and returns a reply with an outcome other than Accepted.
-func (g *Gateway) refuse(id string, outcome Outcome, reason string) Reply {
-	g.refusals.Warn("job not accepted", "job", id, "outcome", outcome, "reason", reason)
-	return Reply{Outcome: outcome, RetryAfter: retryAfter, Reason: reason}
-}
-
 // storeJob makes one attempt to store a job, on condition that the configuration is current.
 func (g *Gateway) storeJob(ctx context.Context, host, path string, spec *job.Spec) (Reply, error) {
 	queue, snapshot, err := g.Route(ctx, host, path)
