--- a/internal/ingress/pace_test.go
+++ b/internal/ingress/pace_test.go
@@ -141,3 +141,22 @@
 	is.NoErr(err)
 	is.Equal(<-request(last), fasthttp.StatusOK)
 }
+
+// TestShortBodiesOfUnknownLength guards against short chunked bodies that are refused as if they were as long as the limit.
+func TestShortBodiesOfUnknownLength(t *testing.T) {
+	is := is.New(t)
+	inner, listener := newTestListener(Limits{Bytes: 64 << 20, Processors: 0.01})
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
+	listener.Guard(server, func() int { return minBodyBytesPerSecond })
+	go func() { _ = server.Serve(listener) }()
+	conn, err := inner.Dial()
+	is.NoErr(err)
+	reader := bufio.NewReader(conn)
+	for range 10 {
+		_, err := conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"))
+		is.NoErr(err)
+		response := fasthttp.Response{}
+		is.NoErr(response.Read(reader))
+		is.Equal(response.StatusCode(), fasthttp.StatusOK)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -107,22 +108,7 @@
 	if stream == nil {
 		return nil
 	}
-	var body []byte
-	announced := request.Request.Header.ContentLength()
-	// A body of unknown length may be as long as the limit.
-	length := announced
-	if announced < 0 {
-		length = limit
-	}
-	err := l.pace.awaitBody(min(length, limit))
-	if err != nil {
-		return err
-	}
-	if announced >= 0 {
-		body, _, err = account.ReadAnnounced(stream, announced, limit)
-	} else {
-		body, _, err = account.Read(stream, limit)
-	}
+	body, err := l.readPaced(account, stream, request.Request.Header.ContentLength(), limit)
 	if err != nil {
 		return err
 	}
@@ -142,6 +128,22 @@
 	return nil
 }
 
+// readPaced reads a body at the pace of the listener. A negative length is that of a chunked body, which is known only after
+// it was read.
+func (l *Listener) readPaced(account *Account, stream io.Reader, length, limit int) (body []byte, err error) {
+	if length >= 0 {
+		if err := l.pace.awaitBody(min(length, limit)); err != nil {
+			return nil, err
+		}
+		body, _, err = account.ReadAnnounced(stream, length, limit)
+		return body, err
+	}
+	if body, _, err = account.Read(stream, limit); err != nil {
+		return nil, err
+	}
+	return body, l.pace.awaitBody(len(body))
+}
+
 // rejectBody answers a request whose body was not read.
 func (l *Listener) rejectBody(request *fasthttp.RequestCtx, err error) {
 	request.SetConnectionClose()
