--- a/internal/ingress/pace.go
+++ b/internal/ingress/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -76,3 +77,26 @@
 	}
 	return nil
 }
+
+// chunkedReader reads a body of unknown length. Once it is longer than smallBodyBytes, it is paced as one of the limit.
+type chunkedReader struct {
+	stream io.Reader
+	pace   *pace
+	limit  int
+	read   int
+	paced  bool
+}
+
+// Read implements io.Reader. It returns ErrBusy if a long body would have to wait for too long.
+func (r *chunkedReader) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	r.read += n
+	if r.paced || r.read <= smallBodyBytes {
+		return n, err
+	}
+	r.paced = true
+	if busy := r.pace.awaitBody(r.limit); busy != nil {
+		return n, busy
+	}
+	return n, err
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -128,20 +128,17 @@
 	return nil
 }
 
-// readPaced reads a body at the pace of the listener. A negative length is that of a chunked body, which is known only after
-// it was read.
+// readPaced reads a body at the pace of the listener. A negative length is that of a chunked body, which is not known.
 func (l *Listener) readPaced(account *Account, stream io.Reader, length, limit int) (body []byte, err error) {
-	if length >= 0 {
-		if err := l.pace.awaitBody(min(length, limit)); err != nil {
-			return nil, err
-		}
-		body, _, err = account.ReadAnnounced(stream, length, limit)
+	if length < 0 {
+		body, _, err = account.Read(&chunkedReader{stream: stream, pace: l.pace, limit: limit}, limit)
 		return body, err
 	}
-	if body, _, err = account.Read(stream, limit); err != nil {
+	if err := l.pace.awaitBody(min(length, limit)); err != nil {
 		return nil, err
 	}
-	return body, l.pace.awaitBody(len(body))
+	body, _, err = account.ReadAnnounced(stream, length, limit)
+	return body, err
 }
 
 // rejectBody answers a request whose body was not read.
