--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -10,6 +10,7 @@
 
 	"clementineflow/internal/contain"
 	"clementineflow/internal/link"
+	"clementineflow/internal/telemetry"
 	"clementineflow/internal/wire"
 )
 
@@ -32,6 +33,7 @@
 // Agent runs jobs on the worker of the same machine. Create it with New; it is safe for concurrent use.
 type Agent struct {
 	config     Config
+	refusals   *telemetry.RefusalLogger
 	goroutines *conc.WaitGroup
 	// baseCtx is cancelled when Run ends. Starts and stops go on after the link that ordered them is closed:
 	// the next coordinator gets their outcome in the agent's report.
@@ -124,7 +126,7 @@
 	baseCtx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		baseCtx: baseCtx, cancel: cancel,
-		config: config, goroutines: conc.NewWaitGroup(),
+		config: config, refusals: telemetry.NewRefusalLogger(config.Logger), goroutines: conc.NewWaitGroup(),
 		// The agent's previous process may have extended the lease up to the end of its authority.
 		lease: runLease{maxExtension: config.LeaseTerm, endsBy: config.Now() + config.Authority},
 		runs:  map[string]*localRun{}, absent: map[string]uint32{},
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -19,7 +19,7 @@
 			return false
 		}
 	case a.snapshotTaken && d.Incarnation < a.worker.Incarnation && d.Incarnation != a.answeredBy:
-		a.config.Logger.Warn("ignored a description of a previous worker incarnation",
+		a.refusals.Warn("ignored a description of a previous worker incarnation",
 			"worker", d.ID, "born", d.Incarnation, "known_born", a.worker.Incarnation)
 		return false
 	default:
--- a/internal/runner/loss.go
+++ b/internal/runner/loss.go
@@ -35,7 +35,7 @@
 	if a.worker.ID != id || a.workerLost {
 		return
 	}
-	a.config.Logger.Info("leave call of a worker", "worker", id, "leaving", a.worker.Leaving, "runs", len(a.runs))
+	a.refusals.Info("leave call of a worker", "worker", id, "leaving", a.worker.Leaving, "runs", len(a.runs))
 	a.leftAt = a.config.Now()
 	a.wakeLocked()
 }
--- a/internal/telemetry/refusals.go
+++ b/internal/telemetry/refusals.go
@@ -16,7 +16,7 @@
 	maxLoggedInput = 200
 )
 
-// RefusalLogger logs refused requests, at most refusalsPerSecond. The line after skipped ones tells their number as
+// RefusalLogger logs refused requests, and others that a caller can repeat at will, at most refusalsPerSecond. The line after skipped ones tells their number as
 // "unlogged". It is safe for concurrent use.
 type RefusalLogger struct {
 	logger   *log.Logger
