--- a/test/jobs/backlog_test.go
+++ b/test/jobs/backlog_test.go
@@ -11,6 +11,7 @@
 	"clementineflow/internal/backlog"
 	"clementineflow/internal/gateway"
 	"clementineflow/internal/job"
+	"clementineflow/internal/standin/kvstore"
 )
 
 const (
@@ -84,3 +85,23 @@
 
 // backlogTaskBytes is less than the memory of a task.
 const backlogTaskBytes = 200
+
+// TestRoomIsPublishedDespiteLostAnswers guards against a queue that stays closed, or never closes, because the coordinator got no
+// answer to the write that says so.
+func TestRoomIsPublishedDespiteLostAnswers(t *testing.T) {
+	runInRegion(t, func(is *is.I, r *region) {
+		r.restartEntries(smallBacklog)
+		e := r.nonLeader()
+		r.leader().faulty.SetFaults(kvstore.Faults{LoseAnswerPercent: 50})
+		ids := r.submitCrowd(e)
+		is.True(len(ids[gateway.Refused]) > 0)
+		is.True(len(ids[gateway.Accepted])*backlogTasks*backlogTaskBytes < smallBacklog)
+		for _, id := range ids[gateway.Accepted] {
+			is.Equal(r.cancel(e, id), gateway.Accepted)
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(r.submit(e, newSpec(ids[gateway.Refused][0], 1)), gateway.Accepted)
+		r.leader().faulty.SetFaults(kvstore.Faults{})
+		time.Sleep(10 * time.Second)
+	})
+}
