--- a/internal/gateway/callbudget.go
+++ b/internal/gateway/callbudget.go
@@ -20,8 +20,6 @@
 	// queueShare is the part of an entry's writes that the submissions to one queue, or the cancellations, may take, so that
 	// those to other queues find some left.
 	queueShare = 0.5
-	// cancellations is the name of the writes of cancellations beside those of the queues.
-	cancellations = "cancellations"
 	// maxQueueLimiters bounds the queues whose writes are counted. Queues that the operator has removed are forgotten with it.
 	maxQueueLimiters = 1024
 	// callBurstSeconds is the time for whose share of the rates calls may come at once.
@@ -45,8 +43,9 @@
 	mu            sync.Mutex
 	sharedBy      int
 	writes, reads *rate.Limiter
-	// queues holds the limiters of the writes of each queue.
-	queues map[string]*rate.Limiter
+	// queues holds the limiters of the submissions to each queue, cancellations that of all cancellations.
+	queues        map[string]*rate.Limiter
+	cancellations *rate.Limiter
 }
 
 // newCallBudget returns a budget for one of a number of entries, or nil without rates.
@@ -57,8 +56,8 @@
 	return &callBudget{rates: rates, entries: entries}
 }
 
-// allowWrite takes a write for a queue, or for cancellations, from the budget, and reports whether there was one left.
-func (b *callBudget) allowWrite(queue string) bool {
+// allowSubmission takes the write of a submission to a queue from the budget, and reports whether there was one left.
+func (b *callBudget) allowSubmission(queue string) bool {
 	if b == nil {
 		return true
 	}
@@ -68,6 +67,17 @@
 	return b.queueLocked(queue).Allow() && b.writes.Allow()
 }
 
+// allowCancellation takes the write of a cancellation from the budget, and reports whether there was one left.
+func (b *callBudget) allowCancellation() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.followEntriesLocked()
+	return b.cancellations.Allow() && b.writes.Allow()
+}
+
 // allowReads takes a number of reads from the budget, and reports whether so many were left.
 func (b *callBudget) allowReads(count int) bool {
 	if b == nil {
@@ -89,9 +99,10 @@
 	b.writes = newCallLimiter(b.rates.Writes, sharedBy)
 	b.reads = newCallLimiter(b.rates.Reads, sharedBy)
 	b.queues = map[string]*rate.Limiter{}
+	b.cancellations = b.newQueueLimiterLocked()
 }
 
-// queueLocked returns the limiter of the writes of a queue.
+// queueLocked returns the limiter of the submissions to a queue.
 func (b *callBudget) queueLocked(queue string) *rate.Limiter {
 	if limiter := b.queues[queue]; limiter != nil {
 		return limiter
@@ -99,11 +110,16 @@
 	if len(b.queues) >= maxQueueLimiters {
 		clear(b.queues)
 	}
-	limiter := newCallLimiter(b.rates.Writes*queueShare, b.sharedBy)
+	limiter := b.newQueueLimiterLocked()
 	b.queues[queue] = limiter
 	return limiter
 }
 
+// newQueueLimiterLocked returns a limiter of the part of the writes that a queue, or all cancellations, may take.
+func (b *callBudget) newQueueLimiterLocked() *rate.Limiter {
+	return newCallLimiter(b.rates.Writes*queueShare, b.sharedBy)
+}
+
 // newCallLimiter returns the limiter of one entry for a rate of the store.
 func newCallLimiter(perSecond float64, entries int) *rate.Limiter {
 	share := perSecond * callerShare / float64(entries)
--- a/internal/gateway/callbudget_test.go
+++ b/internal/gateway/callbudget_test.go
@@ -15,7 +15,7 @@
 		is := is.New(t)
 		entries := 1
 		b := newCallBudget(StoreRates{Writes: 400, Reads: 2000}, func() int { return entries })
-		crowd, ordinary := func() bool { return b.allowWrite("crowd") }, func() bool { return b.allowWrite("ordinary") }
+		crowd, ordinary := func() bool { return b.allowSubmission("crowd") }, func() bool { return b.allowSubmission("ordinary") }
 		// Half of the rate for two seconds, of which one queue may take a half.
 		is.Equal(allowed(crowd), 200)
 		is.Equal(allowed(ordinary), 200)
@@ -26,7 +26,7 @@
 		is.Equal(allowed(func() bool { return b.allowReads(stateReads) }), 250)
 		time.Sleep(time.Second)
 		is.Equal(allowed(crowd), 25)
-		is.True(b.allowWrite(cancellations))
+		is.True(b.allowCancellation())
 	})
 }
 
@@ -43,6 +43,14 @@
 func TestNoRatesNoBudget(t *testing.T) {
 	is := is.New(t)
 	b := newCallBudget(StoreRates{}, func() int { return 1 })
-	is.True(b.allowWrite("ordinary"))
+	is.True(b.allowSubmission("ordinary"))
 	is.True(b.allowReads(1000))
 }
+
+// TestCancellationsHaveTheirOwnPart guards against a queue whose name keeps its callers, or all others, from cancelling.
+func TestCancellationsHaveTheirOwnPart(t *testing.T) {
+	is := is.New(t)
+	b := newCallBudget(StoreRates{Writes: 400, Reads: 2000}, func() int { return 1 })
+	is.True(allowed(func() bool { return b.allowSubmission("cancellations") }) > 0)
+	is.True(b.allowCancellation())
+}
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -15,7 +15,7 @@
 // there is no job: a write of its submission may still take effect, or the submission may arrive again at another entry.
 // The coordinator then cancels the job when it finds it.
 func (g *Gateway) Cancel(ctx context.Context, id string) Reply {
-	if !g.calls.allowWrite(cancellations) {
+	if !g.calls.allowCancellation() {
 		refusedCalls.Inc()
 		return g.refuse(id, Refused, errTooManyCalls.Error())
 	}
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -127,7 +127,7 @@
 	if queue.NeedsPlacementAdvice {
 		return g.refuse(spec.ID, Refused, "queues with placement advice are not supported"), nil
 	}
-	if !g.calls.allowWrite(queue.Name) {
+	if !g.calls.allowSubmission(queue.Name) {
 		return g.refuseUnlessStored(ctx, spec.ID, errTooManyCalls), nil
 	}
 	if !g.config.Admission.AdmitJob(queue.Name, backlog.JobBytes(spec)) {
