--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,7 +15,7 @@
 // sent the token may only send queries.
 func (p *Peer) Serve(ctx context.Context, conn link.Conn) {
 	defer p.removeServed(conn)
-	trusted := p.token.Trusts("")
+	trusted := p.token.Trusts("") // only without a token
 	for {
 		message, err := conn.Receive()
 		if err != nil {
