--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -50,7 +50,7 @@
 	if !c.listener.waiting.remove(c) {
 		return false
 	}
-	c.listener.pace.awaitRequest()
+	c.listener.rates.awaitRequest()
 	c.active = c.active || c.awaitMemory(activeConnBytes)
 	if c.active && c.account != nil {
 		c.listener.waiting.add(c, outer)
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -41,7 +41,7 @@
 	Bytes int64
 	// Conns is the number of open connections of all listeners.
 	Conns int
-	// Processors is the share of a processor for which connections and requests are paced. With zero they are not.
+	// Processors is the share of a processor for which rates of connections and requests are limited. With zero they are not.
 	Processors float64
 }
 
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -85,8 +85,8 @@
 	fullSince time.Time
 	waiting   waitingConns
 	// turn holds the request that waits for memory before all others.
-	turn chan struct{}
-	pace *pace
+	turn  chan struct{}
+	rates *rateLimits
 	// unavailable is the response on a connection that there is no memory to read a request from.
 	unavailable []byte
 }
@@ -99,7 +99,7 @@
 		Listener: inner, budget: budget, unidentified: budget.Part(limits.Bytes / unidentifiedDivisor), config: config,
 		meter: newMeter(config.Name, budget, i.logger), bound: int64(limits.boundOf(&config)),
 		connBytes: idleConnBytes + config.ConnBytes, unavailable: unavailableResponse(config.Explain),
-		turn: make(chan struct{}, 1), pace: newPace(limits.Processors),
+		turn: make(chan struct{}, 1), rates: newRateLimits(limits.Processors),
 	}
 	if config.HoldsCalls {
 		l.connBytes += activeConnBytes
@@ -113,7 +113,7 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		l.pace.awaitAccept()
+		l.rates.awaitAccept()
 		inner, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
--- a/internal/ingress/pace.go
+++ b/internal/ingress/ratelimit.go
@@ -21,25 +21,25 @@
 	minBodyBytesPerSecond = 1 << 20
 	// burstTime is the time for whose share of the rates a listener accepts at once.
 	burstTime = time.Second
-	// smallBodyBytes is the length up to which bodies are not paced, so that short requests don't wait for long ones.
+	// smallBodyBytes is the length up to which bodies are not limited, so that short requests don't wait for long ones.
 	smallBodyBytes = 16 << 10
 	// bodyWait is the longest time that a long body waits before it is read. Without a place it is refused at once.
 	bodyWait = 500 * time.Millisecond
 )
 
-// pace bounds the processor time that the callers of a listener take: those beyond the rates wait in the order of their
-// arrival, so that one connection can't take more than others. A nil pace doesn't bound anything. It is safe for
-// concurrent use.
-type pace struct {
+// rateLimits bound the processor time that the callers of a listener take: those beyond the rates wait in the order of their
+// arrival, so that one connection can't take more than others. Nil limits don't bound anything. They are safe
+// for concurrent use.
+type rateLimits struct {
 	accepts, requests, bodies *rate.Limiter
 }
 
-// newPace returns the pace of a listener that may use a number of processors, or nil if that is zero.
-func newPace(processors float64) *pace {
+// newRateLimits returns the rate limits of a listener that may use a number of processors, or nil if that is zero.
+func newRateLimits(processors float64) *rateLimits {
 	if processors <= 0 {
 		return nil
 	}
-	return &pace{
+	return &rateLimits{
 		accepts:  newLimiter(processors*acceptsPerProcessor, minPerSecond),
 		requests: newLimiter(processors*requestsPerProcessor, minPerSecond),
 		bodies:   newLimiter(processors*bodyBytesPerProcessor, minBodyBytesPerSecond),
@@ -52,50 +52,50 @@
 }
 
 // awaitAccept waits until the next connection may be accepted.
-func (p *pace) awaitAccept() {
-	if p != nil {
-		time.Sleep(p.accepts.Reserve().Delay())
+func (r *rateLimits) awaitAccept() {
+	if r != nil {
+		time.Sleep(r.accepts.Reserve().Delay())
 	}
 }
 
 // awaitRequest waits until the next request may be read.
-func (p *pace) awaitRequest() {
-	if p != nil {
-		time.Sleep(p.requests.Reserve().Delay())
+func (r *rateLimits) awaitRequest() {
+	if r != nil {
+		time.Sleep(r.requests.Reserve().Delay())
 	}
 }
 
 // awaitBody waits until a body of the length may be read. It returns ErrBusy at once if that would take too long.
-func (p *pace) awaitBody(length int) error {
-	if p == nil || length <= smallBodyBytes {
+func (r *rateLimits) awaitBody(length int) error {
+	if r == nil || length <= smallBodyBytes {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
 	defer cancel()
-	if p.bodies.WaitN(ctx, min(length, p.bodies.Burst())) != nil {
+	if r.bodies.WaitN(ctx, min(length, r.bodies.Burst())) != nil {
 		return ErrBusy
 	}
 	return nil
 }
 
-// chunkedReader reads a body of unknown length. Once it is longer than smallBodyBytes, it is paced as one of the limit.
+// chunkedReader reads a body of unknown length. Once it is longer than smallBodyBytes, it counts as one of the limit.
 type chunkedReader struct {
-	stream io.Reader
-	pace   *pace
-	limit  int
-	read   int
-	paced  bool
+	stream  io.Reader
+	rates   *rateLimits
+	limit   int
+	read    int
+	charged bool
 }
 
 // Read implements io.Reader. It returns ErrBusy if a long body would have to wait for too long.
 func (r *chunkedReader) Read(p []byte) (int, error) {
 	n, err := r.stream.Read(p)
 	r.read += n
-	if r.paced || r.read <= smallBodyBytes {
+	if r.charged || r.read <= smallBodyBytes {
 		return n, err
 	}
-	r.paced = true
-	if busy := r.pace.awaitBody(r.limit); busy != nil {
+	r.charged = true
+	if busy := r.rates.awaitBody(r.limit); busy != nil {
 		return n, busy
 	}
 	return n, err
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -108,7 +108,7 @@
 	if stream == nil {
 		return nil
 	}
-	body, err := l.readPaced(account, stream, request.Request.Header.ContentLength(), limit)
+	body, err := l.readLimited(account, stream, request.Request.Header.ContentLength(), limit)
 	if err != nil {
 		return err
 	}
@@ -128,13 +128,13 @@
 	return nil
 }
 
-// readPaced reads a body at the pace of the listener. A negative length is that of a chunked body, which is not known.
-func (l *Listener) readPaced(account *Account, stream io.Reader, length, limit int) (body []byte, err error) {
+// readLimited reads a body within the rate of the listener. A negative length is that of a chunked body, which is not known.
+func (l *Listener) readLimited(account *Account, stream io.Reader, length, limit int) (body []byte, err error) {
 	if length < 0 {
-		body, _, err = account.Read(&chunkedReader{stream: stream, pace: l.pace, limit: limit}, limit)
+		body, _, err = account.Read(&chunkedReader{stream: stream, rates: l.rates, limit: limit}, limit)
 		return body, err
 	}
-	if err := l.pace.awaitBody(min(length, limit)); err != nil {
+	if err := l.rates.awaitBody(min(length, limit)); err != nil {
 		return nil, err
 	}
 	body, _, err = account.ReadAnnounced(stream, length, limit)
