--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -136,6 +136,21 @@
 	return s
 }
 
+// submitAt hands a submission in at one entry, once.
+func (d *deployment) submitAt(p *process, q queue, spec string, steps ...step) *submission {
+	s := &submission{id: fmt.Sprintf("%016x", rand.Uint64()), queue: q, spec: spec, steps: steps}
+	d.jobs.mu.Lock()
+	d.jobs.jobs[s.id] = s
+	d.jobs.mu.Unlock()
+	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
+	status, _ := d.call(p, http.MethodPost, q, s.id, body)
+	d.journal.add("client hands in %s at %s: %d", s.id, p.name, status)
+	if status/100 == 2 {
+		s.accepted = d.journal.now()
+	}
+	return s
+}
+
 // state asks an entry for the state of a submission.
 func (d *deployment) state(s *submission, p *process) (int, string) {
 	status, body := d.call(p, http.MethodGet, s.queue, s.id, nil)
--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -94,7 +94,9 @@
 	zones   []string
 	queues  []queue
 	jobs    *jobTable
-	client  *http.Client
+	// weak is set while the process of the weak machine is made.
+	weak   bool
+	client *http.Client
 }
 
 // queue is a route of the configuration.
@@ -114,8 +116,10 @@
 // shape is the size of a deployment and what its workers are like.
 type shape struct {
 	entries, agents int
-	capacity        capacity
-	guards          bool
+	// weak is the number of entries, the last ones, that are weak machines with a narrow link. The others are strong then.
+	weak     int
+	capacity capacity
+	guards   bool
 }
 
 const service = "filtertrack"
@@ -131,6 +135,7 @@
 		jobs: newJobTable(), client: &http.Client{Timeout: 4 * time.Second},
 		queues: []queue{
 			{Name: "r-intake", Host: "shop.example", Prefix: "/intake/", Kind: "unsafe", Timeout: 3000, SLO: 250, Service: service, MaxAttempts: 4, SlackFactor: 1.5},
+			{Name: "r-bake", Host: "shop.example", Prefix: "/bake/", Kind: "unsafe", Timeout: 3000, SLO: 1000, Priority: 2, Service: service, MaxAttempts: 4, SlackFactor: 2},
 			{Name: "r-watch", Host: "shop.example", Prefix: "/watch/", Kind: "unsafe", Timeout: 3000, SLO: 2500, Service: service, MaxAttempts: 3, SlackFactor: 2.2},
 		},
 	}
@@ -202,8 +207,16 @@
 	d.store.put("op/config", config)
 	for i := range s.entries {
 		name := fmt.Sprintf("front-%s-%d", d.zones[i%len(d.zones)], i/len(d.zones)+1)
+		share, linkMbps, memory := "0.4", "1000.0", 284
+		if s.weak > 0 {
+			share, linkMbps, memory = "0.8", "200.0", 536
+		}
+		if d.weak = i >= s.entries-s.weak; d.weak {
+			share, linkMbps, memory = "0.192", fmt.Sprintf("%d.0", weakLink), 184
+		}
 		p, err := d.newProcess(name, fmt.Sprintf("%s%d", d.prefix, 1+i), d.zones[i%len(d.zones)], entryCommand,
-			"machineClass=front", "serves=front", "limits.cpuShare=0.4", "limits.memoryMb=284", "limits.maxFds=4100")
+			"machineClass=front", "serves=front", fmt.Sprintf("limits.memoryMb=%d", memory), "limits.maxFds=4100",
+			"limits.cpuShare="+share, "limits.linkMbps="+linkMbps)
 		if err != nil {
 			return err
 		}
@@ -230,13 +243,20 @@
 
 func (d *deployment) newProcess(name, ip, zone string, command []string, extra ...string) (*process, error) {
 	store := fmt.Sprintf("%s:%d", ip, storePort)
-	if err := d.store.serve(name, store); err != nil {
+	served := store
+	if d.weak {
+		served = fmt.Sprintf("%s:%d", ip, storePort+1)
+		if err := narrow(store, served); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.store.serve(name, served); err != nil {
 		return nil, err
 	}
 	lines := []string{
 		"nodeName=" + name, "ip=" + ip, "zone=" + zone, "region=bc-coast", "heartbeatMs=1500", "orders=rpc", "discovery=local",
 		fmt.Sprintf("listenAddrs.front=%s:%d", ip, frontPort), fmt.Sprintf("listenAddrs.ready=%s:%d", ip, readyPort),
-		fmt.Sprintf("listenAddrs.control=%s:%d", ip, reportPort), "portRange=7720,7735", "limits.cores=1", "limits.linkMbps=1000.0",
+		fmt.Sprintf("listenAddrs.control=%s:%d", ip, reportPort), "portRange=7720,7735", "limits.cores=1",
 		"platform.address=" + store, "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
 		"platform.valueBytes=1048576", "platform.ttlMinMs=1000", "bootstrap=true",
 		"timingBounds.contactMs=3000", "timingBounds.ackMs=4000", "timingBounds.drainMs=2000", "timingBounds.graceS=6",
--- a/review/standins-3/images.go
+++ b/review/standins-3/images.go
@@ -28,7 +28,7 @@
 // of its own. Like the platform it kills an agent whose memory exceeds its limit, and starts it again.
 func playImages(d *deployment, trouble bool) (verdict, error) {
 	for i := range servingImages {
-		s := d.submit(d.queues[1], "last", step{
+		s := d.submit(d.queues[2], "last", step{
 			Count: len(d.agents), CPU: 200, Memory: 100, Perpetual: true, MaxPerServer: 1, Image: fmt.Sprintf("serve-%d", i), Target: 100,
 		})
 		if s.accepted == 0 {
@@ -42,7 +42,7 @@
 	ends := make([]int, len(d.agents))
 	most := make([]int, len(d.agents))
 	for i, p := range d.agents {
-		group.Go(func() { ends[i], most[i] = d.enforceMemory(ctx, p) })
+		group.Go(func() { ends[i], most[i] = d.enforce(ctx, p, agentMemory) })
 	}
 	ticker := time.NewTicker(time.Second / fillingRate)
 	defer ticker.Stop()
@@ -73,17 +73,17 @@
 		handed, machines, len(d.agents)+len(d.entries), agentMemory, peak)}, nil
 }
 
-// enforceMemory kills a process whose memory exceeds the limit and starts it again after a short delay, as the platform does.
-func (d *deployment) enforceMemory(ctx context.Context, p *process) (ends, most int) {
+// enforce kills a process whose memory exceeds the limit and starts it again after a short delay, as the platform does.
+func (d *deployment) enforce(ctx context.Context, p *process, limit int) (ends, most int) {
 	for ctx.Err() == nil {
 		sleep(ctx, 200*time.Millisecond)
 		used := p.memory()
 		most = max(most, used)
-		if used <= agentMemory {
+		if used <= limit {
 			continue
 		}
 		ends++
-		d.journal.add("%s uses %d MB of %d and is killed", p.name, used, agentMemory)
+		d.journal.add("%s uses %d MB of %d and is killed", p.name, used, limit)
 		p.kill()
 		sleep(ctx, 300*time.Millisecond)
 		if ctx.Err() == nil {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,6 +21,7 @@
 }{
 	"crashes": {shape{entries: 4, agents: 11, capacity: capacity{CPU: 16000, Memory: 64000}, guards: true}, playCrashes},
 	"images":  {shape{entries: 4, agents: 11, capacity: capacity{CPU: 16000, Memory: 64000}, guards: true}, playImages},
+	"reload":  {shape{entries: 4, agents: 11, weak: 2, capacity: capacity{CPU: 16000, Memory: 64000}, guards: true}, playReload},
 	"waiting": {shape{entries: 4, agents: 11, capacity: capacity{CPU: 16000, Memory: 64000}, guards: true}, playWaiting},
 }
 
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -282,6 +282,19 @@
 	return s.rev
 }
 
+// size returns the number of items under a prefix and the length of their list on the wire.
+func (s *kvStore) size(prefix string) (items, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, found := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			encoded, _ := json.Marshal(found)
+			items, bytes = items+1, bytes+len(encoded)+1
+		}
+	}
+	return items, bytes
+}
+
 // expireLocked ends the leases that have run out, and removes their keys.
 func (s *kvStore) expireLocked(now time.Time) {
 	for id, l := range s.leases {
--- a/review/standins-3/waiting.go
+++ b/review/standins-3/waiting.go
@@ -21,7 +21,7 @@
 	if trouble {
 		full--
 	}
-	watch := d.submit(d.queues[1], "last", step{Count: full, CPU: 16000, Memory: 1000, Perpetual: true, MaxPerServer: 1, Estimate: 400})
+	watch := d.submit(d.queues[2], "last", step{Count: full, CPU: 16000, Memory: 1000, Perpetual: true, MaxPerServer: 1, Estimate: 400})
 	if watch.accepted == 0 {
 		return verdict{}, fmt.Errorf("the first submission was not accepted")
 	}
