--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -112,6 +112,9 @@
 	d.jobs.mu.Lock()
 	d.jobs.jobs[s.id] = s
 	d.jobs.mu.Unlock()
+	if spec == "last" {
+		d.journal.keep(s.id)
+	}
 	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
 	first := rand.IntN(len(d.entries))
 	for attempt := range 4 {
--- a/review/standins-3/reload.go
+++ b/review/standins-3/reload.go
@@ -13,8 +13,10 @@
 const (
 	// weakLink is limits.linkMbps of a weak entry.
 	weakLink = 10
-	// reloadTraffic is how long submissions come, one each reloadGap.
-	reloadTraffic = 62 * time.Second
+	// reloadTraffic is how long submissions come at most, one each reloadGap, and reloadBytes the length of the list of progress
+	// at which they end. At weakLink it takes 1.4 s.
+	reloadTraffic = 72 * time.Second
+	reloadBytes   = 1_750_000
 	reloadGap     = 20 * time.Millisecond
 	// cancelShare is the share of the submissions that are cancelled.
 	cancelShare = 0.4
@@ -37,6 +39,11 @@
 	var group sync.WaitGroup
 	handed := 0
 	for ticker := time.NewTicker(reloadGap); time.Since(began) < reloadTraffic; <-ticker.C {
+		if handed%50 == 0 {
+			if _, bytes := d.store.size("out/"); bytes >= reloadBytes {
+				break
+			}
+		}
 		handed++
 		group.Go(func() {
 			s := d.submit(d.queues[rand.IntN(2)], "ms=20", step{Count: 20, CPU: 300, Memory: 200, Estimate: 20},
@@ -50,6 +57,9 @@
 	strong, weak := d.entries[:len(d.entries)/2], d.entries[len(d.entries)-1]
 	keys, bytes := d.store.size("out/")
 	d.journal.add("%d submissions came; the store's list of out/ has %d items and %d bytes", handed, keys, bytes)
+	if bytes < reloadBytes {
+		return verdict{}, fmt.Errorf("only %d bytes of progress came together", bytes)
+	}
 	if trouble {
 		for _, p := range strong {
 			p.kill()
@@ -63,7 +73,7 @@
 	at := map[string]time.Duration{}
 	running := map[string]bool{}
 	for _, e := range d.journal.events() {
-		if strings.HasPrefix(e.task, watch.id+".") {
+		if strings.HasPrefix(e.task, watch.id+".") && e.kind != "stop call" {
 			running[e.task], at[e.task] = e.kind == "start", e.at
 		}
 	}
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -316,7 +316,7 @@
 		w.refuseLocked(rw, "fence")
 		return
 	}
-	w.journal.add("worker %s told to stop %s run %d", w.name, body.Task, body.Run)
+	w.journal.run(runEvent{kind: "stop call", worker: w.name, task: body.Task, run: body.Run})
 	w.barred[body.Task] = max(w.barred[body.Task], body.Run)
 	if present := w.runs[body.Task]; present != nil && present.run == body.Run {
 		w.endLocked(present, "stopped")
@@ -351,7 +351,6 @@
 	w.extendLocked(body.Due)
 	if body.Acked > w.acked {
 		w.acked = body.Acked
-		w.journal.add("worker %s: ends up to %d are taken note of", w.name, w.acked)
 		for len(w.ends) > 0 && w.ends[0].number <= w.acked {
 			w.ends = w.ends[1:]
 		}
