--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -17,7 +17,7 @@
 type step struct {
 	Count          int    `json:"count"`
 	CPU            int64  `json:"cpu"`
-	Memory         int64  `json:"memMb"`
+	Memory         int64  `json:"$memory"`
 	Estimate       int64  `json:"estimateMs,omitempty"`
 	After          []int  `json:"after,omitempty"`
 	Requires       string `json:"requires,omitempty"`
@@ -26,7 +26,7 @@
 	MaxUnavailable int    `json:"maxUnavailable,omitempty"`
 	Image          string `json:"image,omitempty"`
 	Target         int64  `json:"targetMs,omitempty"`
-	Fills          bool   `json:"fillCount,omitempty"`
+	Fills          bool   `json:"$fills,omitempty"`
 }
 
 // submission is what a client has sent, and how it was answered.
@@ -115,7 +115,7 @@
 	if spec == "last" {
 		d.journal.keep(s.id)
 	}
-	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
+	body := encode(map[string]any{"spec": spec, "steps": steps})
 	first := rand.IntN(len(d.entries))
 	for attempt := range 4 {
 		p := d.entries[(first+attempt)%len(d.entries)]
@@ -145,7 +145,7 @@
 	d.jobs.mu.Lock()
 	d.jobs.jobs[s.id] = s
 	d.jobs.mu.Unlock()
-	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
+	body := encode(map[string]any{"spec": spec, "steps": steps})
 	status, _ := d.call(p, http.MethodPost, q, s.id, body)
 	d.journal.add("client hands in %s at %s: %d", s.id, p.name, status)
 	if status/100 == 2 {
--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	d.store.put("op/config", config)
+	d.store.put(names["configuration"], config)
 	for i := range s.entries {
 		name := fmt.Sprintf("front-%s-%d", d.zones[i%len(d.zones)], i/len(d.zones)+1)
 		share, linkMbps, memory := "0.4", "1000.0", 284
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -102,13 +102,13 @@
 	switch {
 	case r.URL.Path == "/kv-key":
 		s.get(w, query.Get("key"))
-	case r.URL.Path == "/kv-range":
+	case r.URL.Path == "/"+names["list"]:
 		s.list(w, query.Get("prefix"), query.Get("after"))
-	case r.URL.Path == "/kv-watch":
+	case r.URL.Path == "/"+names["watch"]:
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
 		s.watch(w, r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
-	case r.URL.Path == "/kv-txn":
+	case r.URL.Path == "/"+names["transaction"]:
 		s.transact(w, r)
 	case r.URL.Path == "/kv-lease":
 		s.grant(w, r)
@@ -195,7 +195,7 @@
 	ExpectedRev []struct {
 		Key      string `json:"key"`
 		Revision uint64 `json:"revision"`
-	} `json:"expectedRev"`
+	} `json:"$expected"`
 	Writes []struct {
 		Key   string `json:"key"`
 		Value []byte `json:"value"`
@@ -206,7 +206,7 @@
 
 func (s *kvStore) transact(w http.ResponseWriter, r *http.Request) {
 	var body transaction
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+	if !decode(r.Body, &body) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/review/standins-3/waiting.go
+++ b/review/standins-3/waiting.go
@@ -83,7 +83,7 @@
 	return nil
 }
 
-// setUnhealthy makes the worker refuse run-start with 503, or not.
+// setUnhealthy makes the worker refuse starts with 503, or not.
 func (w *worker) setUnhealthy(unhealthy bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,7 +14,7 @@
 // capacity is the room of a worker, in the words of the wire.
 type capacity struct {
 	CPU    int64 `json:"cpu"`
-	Memory int64 `json:"memMb"`
+	Memory int64 `json:"$memory"`
 	GPU    int64 `json:"gpu"`
 }
 
@@ -69,11 +68,11 @@
 	due      time.Time
 	wake     chan struct{}
 	server   *http.Server
-	// unhealthy makes the worker answer 503 to run-start.
+	// unhealthy makes the worker answer 503 to a start.
 	unhealthy bool
 	// onStart is called when a run has started. It may be nil.
 	onStart func(w *worker, task string, run uint32)
-	// hold, if not nil, delays answers to run-start after they were carried out.
+	// hold, if not nil, delays answers to a start after they were carried out.
 	answerDelay func() time.Duration
 }
 
@@ -100,8 +99,8 @@
 	w.barred, w.due, w.wake = map[string]uint32{}, time.Time{}, make(chan struct{})
 	born := w.born
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.guard(born, w.handleStart))
-	mux.HandleFunc("POST /run-stop", w.guard(born, w.handleStop))
+	mux.HandleFunc("POST /"+names["start"], w.guard(born, w.handleStart))
+	mux.HandleFunc("POST /"+names["stop"], w.guard(born, w.handleStop))
 	mux.HandleFunc("POST /hold", w.guard(born, w.handleHold))
 	mux.HandleFunc("POST /pace", w.guard(born, w.handlePace))
 	w.server = &http.Server{Handler: mux}
@@ -160,7 +159,7 @@
 			return
 		}
 		w.sequence++
-		body, _ := json.Marshal(map[string]any{
+		body := encode(map[string]any{
 			"service": w.service, "address": w.app, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 			"capacity": w.capacity, "labels": w.labels, "clockMs": w.clockLocked(), "seq": w.sequence, "born": w.born,
 		})
@@ -241,11 +240,11 @@
 		Task  string `json:"task"`
 		Run   uint32 `json:"run"`
 		Spec  string `json:"spec"`
-		Due   int64  `json:"dueMs"`
+		Due   int64  `json:"$due"`
 		Fence uint64 `json:"fence"`
 		Saved string `json:"saved"`
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	if !decode(r.Body, &body) {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -306,7 +305,7 @@
 		Run   uint32 `json:"run"`
 		Fence uint64 `json:"fence"`
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	if !decode(r.Body, &body) {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -333,11 +332,11 @@
 func (w *worker) handleHold(rw http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Fence uint64 `json:"fence"`
-		Acked uint64 `json:"ackedUpto"`
-		Due   int64  `json:"dueMs"`
+		Acked uint64 `json:"$acked"`
+		Due   int64  `json:"$due"`
 		Wait  int64  `json:"waitMs"`
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	if !decode(r.Body, &body) {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
